--- /dev/null
+++ b/internal/announce/announce.go
@@ -0,0 +1,11 @@
+// Package announce reports to the announce service, by one datagram a report.
+package announce
+
+import "fmt"
+
+// Every is how often a node reports, in milliseconds: several reports fit into the 3 s after which the service
+// takes a silent node off its list.
+const Every = 500
+
+// Report returns the datagram that tells whether a node takes requests.
+func Report(name string, taking bool) []byte { return fmt.Appendf(nil, "announce %s %t", name, taking) }
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,606 @@
+// Package core is the payout node without its wires: requests, attempts and outcomes. It knows no protocol and
+// no socket. Core is the sole owner of the decision module and of the table of requests; it is used from one
+// goroutine. Inputs and an absolute now go into Step, which makes one step of the module for all that is ready,
+// and outputs come out. Core decides nothing: it keeps the books, and it sees to it that each request gets one
+// final answer.
+//
+// All times are Unix milliseconds.
+package core
+
+import (
+	"container/heap"
+	"fmt"
+	"slices"
+
+	"shelfstile"
+)
+
+// Outcome says how a request ended for its caller.
+type Outcome uint8
+
+// The outcomes.
+const (
+	Served  Outcome = iota // with the result of its run
+	Refused                // this try never ran
+	Failed                 // no promise
+	Doubled                // its id is that of an earlier request: nothing was done for it
+)
+
+// Request is one try of a request, as a front read it.
+type Request struct {
+	ID        string
+	Class     int
+	Caller    int
+	Came, Due float64 // when it reached the machine, and when its caller stops waiting
+	KB, Rank  float64
+	Key       string
+	Body      []byte
+	To        Sink
+}
+
+// Answer is the final answer to a request, or to a health check (Served is good, Failed is bad).
+type Answer struct {
+	ID      string // of the request; empty for a check
+	Outcome Outcome
+	Result  []byte
+	Load    float64 // the free value; negative: none is said
+	Wait    float64 // how long the caller should keep away; 0: no advice
+	Last    bool    // wish that no other node be tried
+	Close   bool    // this node leaves: no further request is wanted on the connection
+	WriteBy float64 // a peer that has not taken the answer by then is cut
+}
+
+// Sink takes the answers of one connection. Deliver must not block.
+type Sink interface{ Deliver(Answer) }
+
+// End is how a run ended.
+type End uint8
+
+// The ends of runs.
+const (
+	EndOK End = iota
+	EndError
+	EndStopped
+	EndMoot
+)
+
+var endCodes = [...]shelfstile.Code{EndOK: shelfstile.OK, EndError: shelfstile.Error,
+	EndStopped: shelfstile.Cancelled, EndMoot: shelfstile.Moot}
+
+// An Input is something that happened outside.
+type Input interface{ input() }
+
+type (
+	// Arrived is a request that a front has read whole.
+	Arrived struct{ *Request }
+	// Left tells that the caller of a request closed its connection.
+	Left struct{ ID string }
+	// Checked is a health check; a deep one wants to know whether work gets done.
+	Checked struct {
+		Deep bool
+		To   Sink
+	}
+	// Leave is the notice to drain: the process is stopped at the given time.
+	Leave struct{ StopAt float64 }
+	// Bound tells that the worker pool is up, and since when and how it started.
+	Bound struct {
+		Cold bool
+		Age  float64
+	}
+	// Synced tells that the link to the worker pool is in step: all notices of the past have been read. Unsure
+	// names the runs whose start was handed to a link that broke, and of which nothing was heard since.
+	Synced struct{ Unsure []string }
+	// Lost tells that the link to the worker pool broke. Runs continue.
+	Lost struct{}
+	// Finished tells that a run is over.
+	Finished struct {
+		ID     string
+		End    End
+		Took   float64
+		Result []byte
+	}
+	// NotStarted tells that the worker pool did not carry out the start of a run.
+	NotStarted struct{ ID string }
+	// Gauged brings the gauges of the worker pool.
+	Gauged struct{ shelfstile.Gauges }
+	// Verified tells how the work of a deep check ended.
+	Verified struct {
+		Tag string
+		OK  bool
+	}
+)
+
+func (Arrived) input()    {}
+func (Left) input()       {}
+func (Checked) input()    {}
+func (Leave) input()      {}
+func (Bound) input()      {}
+func (Synced) input()     {}
+func (Lost) input()       {}
+func (Finished) input()   {}
+func (NotStarted) input() {}
+func (Gauged) input()     {}
+func (Verified) input()   {}
+
+// An Output is something that the drivers must do at once.
+type Output interface{ output() }
+
+type (
+	// Reply hands an answer to a connection.
+	Reply struct {
+		To Sink
+		Answer
+	}
+	// Spawn starts a run.
+	Spawn struct {
+		ID    string
+		Class int
+		Body  []byte
+	}
+	// Suspend stops a run.
+	Suspend struct{ ID string }
+	// Poll asks for the gauges.
+	Poll struct{}
+	// Verify asks for the work of a deep check.
+	Verify struct{ Tag string }
+	// Idle sets how long connections may be idle.
+	Idle struct{ After float64 }
+	// Leaving tells that the node drains.
+	Leaving struct{}
+	// Deaf tells that no new connection is wanted: the end is near.
+	Deaf struct{}
+	// Over tells that all is answered and the process may end.
+	Over struct{}
+	// Line is a line for the log.
+	Line struct{ Text string }
+)
+
+func (Reply) output()   {}
+func (Spawn) output()   {}
+func (Suspend) output() {}
+func (Poll) output()    {}
+func (Verify) output()  {}
+func (Idle) output()    {}
+func (Leaving) output() {}
+func (Deaf) output()    {}
+func (Over) output()    {}
+func (Line) output()    {}
+
+// Times of the core's own, in milliseconds.
+const (
+	gaugeWait = 8    // a timer waits so long for fresh gauges, then it goes without
+	checkWait = 1500 // a deep check that got no word of its work by then is bad
+	writeWait = 1000 // a peer that takes an answer no sooner is cut
+	backstop  = 30   // a request that the module left without an answer so long after it fell due is failed
+	deafAt    = 400  // this long before the stop no new connection is taken
+	quietAt   = 250  // and this long before it, the process ends once all is answered
+	lastAt    = 60   // whatever is open then is failed
+)
+
+// request is a request that is owed an answer or whose run is not over.
+type request struct {
+	*Request
+	open    bool // an answer is owed
+	running bool // a run was started and is not over
+}
+
+type wake struct {
+	at    float64
+	token uint64
+}
+
+type wakes []wake
+
+func (w wakes) Len() int           { return len(w) }
+func (w wakes) Less(i, j int) bool { return w[i].at < w[j].at }
+func (w wakes) Swap(i, j int)      { w[i], w[j] = w[j], w[i] }
+func (w *wakes) Push(x any)        { *w = append(*w, x.(wake)) }
+func (w *wakes) Pop() any {
+	last := (*w)[len(*w)-1]
+	*w = (*w)[:len(*w)-1]
+	return last
+}
+
+type check struct {
+	Checked
+	tag string
+	by  float64
+}
+
+// Core keeps the books of one node. Create it with New.
+type Core struct {
+	settings shelfstile.Settings
+	seed     uint64
+	policy   *shelfstile.Policy // nil until the worker pool is up
+
+	now     float64
+	events  []shelfstile.Event
+	actions []shelfstile.Action
+	out     []Output
+
+	reqs   map[string]*request
+	open   int // requests that are owed an answer
+	recent ring
+	keys   *keyTable
+
+	wakes  wakes
+	asked  []wake  // timers that wait for gauges
+	askBy  float64 // and until when
+	linked bool
+
+	checks []check
+	tags   int
+	health shelfstile.Health
+	load   float64
+
+	leaving bool
+	stopAt  float64
+	deaf    bool
+	ended   bool
+}
+
+// New returns the core of a node that starts now.
+func New(s shelfstile.Settings, seed uint64) (*Core, error) {
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	return &Core{settings: s, seed: seed, reqs: map[string]*request{}, keys: newKeyTable(), load: -1}, nil
+}
+
+// Known tells whether a request of this id was read lately.
+func (c *Core) known(id string) bool { return c.reqs[id] != nil || c.recent.has(id) }
+
+// Step takes all that is ready and returns what is to be done, in order. The result is valid until the next
+// call. The clock may stand still but not go back; a now that lies in the past is taken as the last one.
+func (c *Core) Step(now float64, in []Input) []Output {
+	c.now = max(c.now, now)
+	c.out = c.out[:0]
+	for _, i := range in {
+		c.take(i)
+	}
+	c.timers()
+	c.step()
+	c.guard()
+	return c.out
+}
+
+// Next returns when Step must be called again at the latest, or 0 if there is nothing to wait for.
+func (c *Core) Next() float64 {
+	next := 0.0
+	sooner := func(at float64) {
+		if next == 0 || at < next {
+			next = at
+		}
+	}
+	if len(c.wakes) > 0 {
+		sooner(c.wakes[0].at)
+	}
+	if len(c.asked) > 0 {
+		sooner(c.askBy)
+	}
+	for _, k := range c.checks {
+		sooner(k.by)
+	}
+	for _, r := range c.reqs {
+		if r.open {
+			sooner(r.Due + backstop)
+		}
+	}
+	if c.leaving && !c.ended {
+		for _, before := range []float64{deafAt, quietAt, lastAt} {
+			if at := c.stopAt - before; at > c.now {
+				sooner(at)
+			}
+		}
+	}
+	return next
+}
+
+func (c *Core) do(o Output)              { c.out = append(c.out, o) }
+func (c *Core) event(e shelfstile.Event) { c.events = append(c.events, e) }
+func (c *Core) logf(f string, a ...any)  { c.do(Line{fmt.Sprintf(f, a...)}) }
+func (c *Core) fail(r *request)          { c.answer(r, Answer{Outcome: Failed}) }
+func id(s string) shelfstile.RequestID   { return shelfstile.RequestID(s) }
+func (c *Core) direct(to Sink, a Answer) { c.do(Reply{to, c.dress(a)}) }
+func (c *Core) good(on bool) (a Answer) {
+	if !on {
+		a.Outcome = Failed
+	}
+	return a
+}
+
+// dress adds to an answer what all answers carry.
+func (c *Core) dress(a Answer) Answer {
+	a.Load, a.Close, a.WriteBy = c.load, c.leaving, c.now+writeWait
+	return a
+}
+
+// answer gives the final answer of a request, unless it has one.
+func (c *Core) answer(r *request, a Answer) {
+	if !r.open {
+		return
+	}
+	r.open = false
+	c.open--
+	a.ID = r.ID
+	c.direct(r.To, a)
+	c.drop(r)
+}
+
+// drop forgets a request of which nothing more can come.
+func (c *Core) drop(r *request) {
+	if !r.open && !r.running && c.reqs[r.ID] == r {
+		delete(c.reqs, r.ID)
+		c.recent.add(r.ID)
+	}
+}
+
+func (c *Core) take(i Input) {
+	switch i := i.(type) {
+	case Arrived:
+		c.arrived(i.Request)
+	case Left:
+		if r := c.reqs[i.ID]; r != nil && r.open {
+			r.open = false
+			c.open--
+			c.event(shelfstile.Gone{ID: id(r.ID)})
+			c.keys.gone(r.ID)
+			c.drop(r)
+		}
+	case Checked:
+		c.checked(i)
+	case Leave:
+		if !c.leaving {
+			c.leaving, c.stopAt = true, i.StopAt
+			c.event(shelfstile.Notice{StopAt: i.StopAt})
+			c.do(Leaving{})
+		}
+	case Bound:
+		c.bound(i)
+	case Synced:
+		c.linked = true
+		c.synced(i.Unsure)
+	case Lost:
+		c.linked = false
+	case Finished:
+		c.finished(i)
+	case NotStarted:
+		c.finished(Finished{ID: i.ID, End: EndMoot})
+	case Gauged:
+		for _, w := range c.asked {
+			c.event(shelfstile.Timer{Token: w.token, Gauges: i.Gauges})
+		}
+		c.asked = c.asked[:0]
+	case Verified:
+		c.verified(i)
+	}
+}
+
+// bound creates the module once the worker pool is up. Its first step is taken at the instant at which the pool
+// started: that is when the warming of a cold server began.
+func (c *Core) bound(b Bound) {
+	if c.policy != nil {
+		return
+	}
+	s := c.settings
+	s.Cold = b.Cold
+	p, err := shelfstile.New(s, c.seed)
+	if err != nil {
+		c.logf("module fault: %v", err)
+		return
+	}
+	c.policy = p
+	c.act(p.Step(c.now-b.Age, nil, c.actions[:0]))
+	if c.leaving {
+		c.event(shelfstile.Notice{StopAt: c.stopAt})
+	}
+}
+
+func (c *Core) arrived(q *Request) {
+	r := &request{Request: q, open: true}
+	if c.known(q.ID) {
+		// Never to the module, and never to the pool: an id that ran once must not run again.
+		c.logf("duplicate id %s", q.ID)
+		c.direct(q.To, Answer{ID: q.ID, Outcome: Doubled})
+		return
+	}
+	c.reqs[q.ID] = r
+	c.open++
+	if c.policy == nil {
+		c.answer(r, Answer{Outcome: Refused}) // the worker pool is not up: nothing can run
+		return
+	}
+	sc := c.settings.Classes[q.Class]
+	a := shelfstile.Arrival{ID: id(q.ID), Due: q.Due, Caller: q.Caller, Unread: max(0, c.now-q.Came), KB: q.KB,
+		Rank: q.Rank, Key: q.Key, Class: q.Class, Write: sc.Repeat != shelfstile.Safe}
+	if c.settings.Fresh > 0 && sc.Repeat == shelfstile.Safe && q.Key != "" {
+		a.RepeatOf = id(c.keys.repeats(q, c.now))
+	}
+	c.event(a)
+}
+
+// synced starts again what may be started again once the notices of a broken link are all read. A write that was
+// handed to the broken link may run or have run unseen, even if it ended after the fence: it is not started
+// again, and unless its end is heard of, the module fails it when it falls due.
+func (c *Core) synced(unsure []string) {
+	for _, s := range unsure {
+		r := c.reqs[s]
+		if r == nil || !r.running {
+			continue
+		}
+		if c.settings.Classes[r.Class].Repeat != shelfstile.Safe {
+			c.logf("run %s in doubt", s)
+			continue
+		}
+		c.do(Spawn{r.ID, r.Class, r.Body})
+	}
+}
+
+func (c *Core) finished(f Finished) {
+	r := c.reqs[f.ID]
+	if r == nil || !r.running {
+		return // of a life that is over, or told twice
+	}
+	r.running = false
+	c.event(shelfstile.Ended{ID: id(r.ID), Code: endCodes[f.End], Latency: f.Took})
+	c.keys.ended(r.ID, f.End == EndOK, f.Result, c.now, c.settings.Fresh, c.reuse)
+	if f.End == EndOK {
+		c.answer(r, Answer{Outcome: Served, Result: f.Result})
+	} else {
+		c.fail(r) // a run that ended without a result leaves nothing to wait for
+	}
+	c.drop(r)
+}
+
+// reuse answers a request with the result of the one that it repeats.
+func (c *Core) reuse(s string, ok bool, result []byte) {
+	r := c.reqs[s]
+	if r == nil || !r.open {
+		return
+	}
+	code := shelfstile.OK
+	if ok {
+		c.answer(r, Answer{Outcome: Served, Result: result})
+	} else {
+		code = shelfstile.Error
+		c.fail(r)
+	}
+	c.event(shelfstile.Ended{ID: id(s), Code: code})
+}
+
+func (c *Core) checked(k Checked) {
+	switch {
+	case c.policy == nil:
+		c.direct(k.To, c.good(false)) // the worker pool is not up
+	case c.health.Stored || !k.Deep:
+		c.direct(k.To, c.good(c.health.Good))
+	case !c.linked || len(c.checks) >= maxChecks:
+		c.direct(k.To, c.good(false))
+	default:
+		c.tags++
+		tag := fmt.Sprint("check", c.tags)
+		c.checks = append(c.checks, check{k, tag, c.now + checkWait})
+		c.do(Verify{tag})
+	}
+}
+
+const maxChecks = 64 // deep checks at work at a time; more are bad at once
+
+func (c *Core) verified(v Verified) {
+	c.checks = slices.DeleteFunc(c.checks, func(k check) bool {
+		if k.tag == v.Tag {
+			c.direct(k.To, c.good(v.OK))
+		}
+		return k.tag == v.Tag
+	})
+}
+
+// timers tells the module of the timers that are due. One with a token wants gauges as of now: they are asked
+// for, and if they don't come at once, the timer goes without.
+func (c *Core) timers() {
+	none := shelfstile.Gauges{CPU: -1}
+	if len(c.asked) > 0 && c.now >= c.askBy {
+		for _, w := range c.asked {
+			c.event(shelfstile.Timer{Token: w.token, Gauges: none})
+		}
+		c.asked = c.asked[:0]
+	}
+	for len(c.wakes) > 0 && c.wakes[0].at <= c.now {
+		w := heap.Pop(&c.wakes).(wake)
+		if w.token == 0 || !c.linked {
+			c.event(shelfstile.Timer{Token: w.token, Gauges: none})
+			continue
+		}
+		if len(c.asked) == 0 {
+			c.askBy = c.now + gaugeWait
+			c.do(Poll{})
+		}
+		c.asked = append(c.asked, w)
+	}
+	c.checks = slices.DeleteFunc(c.checks, func(k check) bool {
+		if c.now >= k.by {
+			c.direct(k.To, c.good(false))
+		}
+		return c.now >= k.by
+	})
+}
+
+// step makes one step of the module for all events. What its actions bring about at once is the next step's.
+func (c *Core) step() {
+	for c.policy != nil && len(c.events) > 0 {
+		events := c.events
+		c.events = nil
+		c.act(c.policy.Step(c.now, events, c.actions[:0]))
+	}
+	if c.policy == nil {
+		c.events = c.events[:0]
+	}
+}
+
+func (c *Core) act(actions []shelfstile.Action) {
+	c.actions = actions
+	for _, a := range actions {
+		switch a := a.(type) {
+		case shelfstile.Run:
+			if r := c.reqs[string(a.ID)]; r != nil && r.open && !r.running {
+				r.running = true
+				c.do(Spawn{r.ID, r.Class, r.Body})
+			}
+		case shelfstile.Stop:
+			if r := c.reqs[string(a.ID)]; r != nil && r.running {
+				c.do(Suspend{r.ID})
+			}
+		case shelfstile.Refuse:
+			if r := c.reqs[string(a.ID)]; r != nil {
+				c.keys.gone(r.ID)
+				c.answer(r, Answer{Outcome: Refused, Wait: a.RetryAfter, Last: a.NotElsewhere})
+			}
+		case shelfstile.Fail:
+			if r := c.reqs[string(a.ID)]; r != nil {
+				c.fail(r)
+			}
+		case shelfstile.Keep:
+			if r := c.reqs[string(a.ID)]; r != nil {
+				c.keys.keep(r.Request, c.now+a.For)
+			}
+		case shelfstile.Forget:
+			c.keys.forget(string(a.ID))
+		case shelfstile.Reuse:
+			c.keys.reuse(string(a.ID), c.reuse)
+		case shelfstile.Health:
+			c.health = a
+		case shelfstile.Advertise:
+			c.load = a.Value
+		case shelfstile.CloseIdle:
+			c.do(Idle{a.After})
+		case shelfstile.Wake:
+			heap.Push(&c.wakes, wake{a.At, a.Token})
+		case shelfstile.Log:
+			c.logf("module: %s", a.Text)
+		default:
+			c.logf("module fault: %T has no meaning here", a)
+		}
+	}
+}
+
+// guard sees to it that nothing stays without an answer, and ends the drain.
+func (c *Core) guard() {
+	last := c.leaving && c.now >= c.stopAt-lastAt
+	for _, r := range c.reqs {
+		if r.open && (last || c.now >= r.Due+backstop) {
+			c.logf("request %s was left without an answer", r.ID)
+			c.fail(r)
+		}
+	}
+	if !c.leaving || c.ended {
+		return
+	}
+	if !c.deaf && c.now >= c.stopAt-deafAt {
+		c.deaf = true
+		c.do(Deaf{})
+	}
+	if c.deaf && (last || c.open == 0 && c.now >= c.stopAt-quietAt) {
+		c.ended = true
+		c.do(Over{})
+	}
+}
--- /dev/null
+++ b/internal/core/keys.go
@@ -0,0 +1,124 @@
+package core
+
+import "slices"
+
+// ring remembers the ids of the last requests that are over, so that none is taken twice.
+type ring struct {
+	ids  [4096]string
+	at   int
+	seen map[string]bool
+}
+
+func (r *ring) has(id string) bool { return r.seen[id] }
+
+func (r *ring) add(id string) {
+	if r.seen == nil {
+		r.seen = map[string]bool{}
+	}
+	delete(r.seen, r.ids[r.at])
+	r.ids[r.at] = id
+	r.seen[id] = true
+	r.at = (r.at + 1) % len(r.ids)
+}
+
+// entry is one kept key: the request that holds it, its result once there is one, and who waits for it.
+type entry struct {
+	id      string
+	key     string
+	until   float64 // of the module's Keep; once it is over, of its freshness
+	over    bool
+	result  []byte
+	waiting []string
+}
+
+// keyTable links reads of one key: where answers may serve others, a repeat names the kept request.
+type keyTable struct {
+	byKey  map[string]*entry
+	byID   map[string]*entry
+	repeat map[string]*entry // requests that repeat another, by their id
+}
+
+const maxEntries = 4096 // entries kept at a time; beyond, reads run by themselves
+
+func newKeyTable() *keyTable {
+	return &keyTable{map[string]*entry{}, map[string]*entry{}, map[string]*entry{}}
+}
+
+func keyOf(q *Request) string { return string(rune('0'+q.Class)) + q.Key }
+
+// repeats returns the id of the request that q repeats, or an empty one.
+func (t *keyTable) repeats(q *Request, now float64) string {
+	e := t.byKey[keyOf(q)]
+	if e == nil || e.until < q.Came {
+		return ""
+	}
+	t.repeat[q.ID] = e
+	return e.id
+}
+
+func (t *keyTable) keep(q *Request, until float64) {
+	k := keyOf(q)
+	if old := t.byKey[k]; old != nil && old.id != q.ID {
+		delete(t.byID, old.id)
+	}
+	e := t.byID[q.ID]
+	if e == nil {
+		if len(t.byID) >= maxEntries {
+			return
+		}
+		e = &entry{id: q.ID, key: k}
+	}
+	e.until = until
+	t.byKey[k], t.byID[q.ID] = e, e
+}
+
+func (t *keyTable) forget(id string) {
+	if e := t.byID[id]; e != nil {
+		delete(t.byID, id)
+		if t.byKey[e.key] == e {
+			delete(t.byKey, e.key)
+		}
+	}
+}
+
+// gone takes a request that is over without a run out of the waiting line.
+func (t *keyTable) gone(id string) {
+	if e := t.repeat[id]; e != nil {
+		e.waiting = slices.DeleteFunc(e.waiting, func(w string) bool { return w == id })
+		delete(t.repeat, id)
+	}
+}
+
+// reuse serves a repeat with the result that it repeats, now or when there is one.
+func (t *keyTable) reuse(id string, serve func(id string, ok bool, result []byte)) {
+	e := t.repeat[id]
+	switch {
+	case e == nil:
+		serve(id, false, nil)
+	case e.over:
+		delete(t.repeat, id)
+		serve(id, e.result != nil, e.result)
+	default:
+		e.waiting = append(e.waiting, id)
+	}
+}
+
+// ended hands the end of a run to those that wait for it.
+func (t *keyTable) ended(id string, ok bool, result []byte, now, fresh float64,
+	serve func(id string, ok bool, result []byte)) {
+	e := t.byID[id]
+	if e == nil {
+		return
+	}
+	e.over, e.until = true, now+fresh
+	if ok {
+		e.result = append([]byte{}, result...)
+	} else {
+		t.forget(id)
+	}
+	for _, w := range e.waiting {
+		delete(t.repeat, w)
+		serve(w, ok, result)
+	}
+	e.waiting = nil
+}
--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,200 @@
+// Package front holds what the fronts have in common: the fields of a request, their check, and the form of an
+// answer. A front is a parser that is fed bytes and knows no socket.
+package front
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+
+	"shelfstile"
+	"shelfstile/internal/core"
+)
+
+// MaxBody is the largest body of a request.
+const MaxBody = 2 << 10
+
+// Fault is a request that is turned away unread: the module hears nothing of it. Code is the reason that the
+// log gives for the end of the connection.
+type Fault struct {
+	Status int
+	Code   string
+}
+
+// Message is what a peer said: a request, a health check or a fault.
+type Message struct {
+	Request *core.Request // nil for a check
+	Deep    bool          // a check that wants to know whether work gets done
+	Last    bool          // the peer sends nothing more on the connection
+	Fault   *Fault
+}
+
+// A Parser takes the bytes of one connection. Next returns the next whole message, or false if more bytes are
+// needed; after a fault it must not be called again.
+type Parser interface {
+	Feed(p []byte)
+	Next() (Message, bool)
+	Buffered() int // bytes taken that belong to no message yet
+}
+
+// Bad returns a message that is a fault.
+func Bad(status int, code string) Message { return Message{Fault: &Fault{status, code}} }
+
+// Site is what a front must know to check a request.
+type Site struct {
+	Classes map[string]int
+	Policy  shelfstile.Settings
+}
+
+// NewSite names the classes in their order.
+func NewSite(names []string, s shelfstile.Settings) *Site {
+	t := &Site{Classes: map[string]int{}, Policy: s}
+	for i, n := range names {
+		t.Classes[n] = i
+	}
+	return t
+}
+
+// Fields are the values of a request by their names on the platform's protocol, as they came.
+type Fields struct{ ID, Time, From, Wait, KB, Rank, Key string }
+
+// Field returns the place for a field, or nil for one of no meaning. Case does not matter.
+func (f *Fields) Field(name string) *string {
+	switch {
+	case strings.EqualFold(name, "Req-Id"):
+		return &f.ID
+	case strings.EqualFold(name, "Req-Time"):
+		return &f.Time
+	case strings.EqualFold(name, "Req-From"):
+		return &f.From
+	case strings.EqualFold(name, "Req-Wait-Ms"):
+		return &f.Wait
+	case strings.EqualFold(name, "Req-Kb"):
+		return &f.KB
+	case strings.EqualFold(name, "Req-Rank"):
+		return &f.Rank
+	case strings.EqualFold(name, "Req-Key"):
+		return &f.Key
+	}
+	return nil
+}
+
+const maxKey = 256
+
+// Request checks the fields and makes a request of them.
+func (t *Site) Request(class string, f Fields, body []byte) Message {
+	n, ok := t.Classes[class]
+	if !ok {
+		return Bad(404, "bad-class")
+	}
+	if len(f.ID) != 16 || strings.Trim(f.ID, "0123456789abcdefABCDEF") != "" {
+		return Bad(400, "bad-id")
+	}
+	from, err := strconv.ParseUint(f.From, 10, 31)
+	if err != nil {
+		return Bad(400, "bad-from")
+	}
+	r := &core.Request{ID: f.ID, Class: n, Caller: int(from), Key: f.Key, Body: body}
+	wait := 0.0
+	for _, v := range []struct {
+		text, code string
+		to         *float64
+		ok         func(float64) bool
+	}{
+		{f.Time, "bad-time", &r.Came, func(v float64) bool { return v > 0 && v < 1e15 }},
+		{f.KB, "bad-kb", &r.KB, func(v float64) bool { return v > 0 && v < 2000 }},
+		{f.Rank, "bad-rank", &r.Rank, func(v float64) bool { return v >= 0 && v < 1 }},
+		{f.Wait, "bad-wait", &wait, func(v float64) bool { return v > 0 && v < 1e9 }},
+	} {
+		if v.text == "" && v.to == &wait && !t.Policy.PassesDeadline {
+			wait = t.Policy.Classes[n].Deadline
+			continue
+		}
+		x, err := strconv.ParseFloat(v.text, 64)
+		if err != nil || math.IsNaN(x) || !v.ok(x) {
+			return Bad(400, v.code)
+		}
+		*v.to = x
+	}
+	if len(f.Key) > maxKey {
+		return Bad(400, "bad-key")
+	}
+	r.Due = r.Came + wait
+	return Message{Request: r}
+}
+
+var reasons = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+	409: "Conflict", 411: "Length Required", 413: "Content Too Large", 417: "Expectation Failed",
+	431: "Request Header Fields Too Large", 500: "Internal Server Error", 501: "Not Implemented",
+	503: "Service Unavailable", 505: "HTTP Version Not Supported"}
+
+// Status returns the status that tells an outcome.
+func Status(o core.Outcome) int {
+	switch o {
+	case core.Served:
+		return 200
+	case core.Refused:
+		return 503
+	case core.Doubled:
+		return 409
+	}
+	return 500
+}
+
+// AppendAnswer appends an answer in the form of HTTP/1.1, which uwsgi shares. Last says that the connection
+// ends after it.
+func AppendAnswer(b []byte, a core.Answer, last bool) []byte {
+	status := Status(a.Outcome)
+	if a.ID == "" && a.Outcome != core.Served {
+		status = 503
+	}
+	b = appendHead(b, status)
+	if a.Load >= 0 {
+		b = append(b, "Srv-Load: "...)
+		b = strconv.AppendFloat(b, math.Round(a.Load*1e4)/1e4, 'f', -1, 64)
+		b = append(b, "\r\n"...)
+	}
+	if a.Outcome == core.Refused && a.Wait > 0 {
+		b = append(b, "Srv-Wait-Ms: "...)
+		b = strconv.AppendInt(b, int64(math.Ceil(a.Wait)), 10)
+		b = append(b, "\r\n"...)
+	}
+	if a.Outcome == core.Refused && a.Last {
+		b = append(b, "Srv-Last: 1\r\n"...)
+	}
+	return appendEnd(b, a.Result, last)
+}
+
+// AppendFault appends the answer to what could not be read. The connection ends after it.
+func AppendFault(b []byte, f *Fault) []byte { return appendEnd(appendHead(b, f.Status), nil, true) }
+
+func appendHead(b []byte, status int) []byte {
+	return fmt.Appendf(b, "HTTP/1.1 %d %s\r\n", status, reasons[status])
+}
+
+func appendEnd(b, body []byte, last bool) []byte {
+	if last {
+		b = append(b, "Connection: close\r\n"...)
+	}
+	b = append(b, "Content-Length: "...)
+	b = strconv.AppendInt(b, int64(len(body)), 10)
+	b = append(b, "\r\n\r\n"...)
+	return append(b, body...)
+}
+
+// Route tells a check from a request by method and path; the class is the last part of the path.
+func Route(method, path, query string) (check Message, class string, f *Fault) {
+	switch {
+	case path == "/health" && method == "GET":
+		for pair := range strings.SplitSeq(query, "&") {
+			check.Deep = check.Deep || pair == "real=1"
+		}
+		return check, "", nil
+	case path == "/health", strings.HasPrefix(path, "/rpc/") && method != "POST":
+		return check, "", &Fault{405, "bad-method"}
+	case strings.HasPrefix(path, "/rpc/") && !strings.HasSuffix(path, "/"):
+		return check, path[strings.LastIndexByte(path, '/')+1:], nil
+	}
+	return check, "", &Fault{404, "bad-path"}
+}
--- /dev/null
+++ b/internal/node/conn.go
@@ -0,0 +1,255 @@
+package node
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"shelfstile/internal/core"
+	"shelfstile/internal/front"
+)
+
+// partFor is how long a message may take from its first byte to its last, in milliseconds.
+const partFor = 5000
+
+// maxAhead bounds what a peer may send while its request is in hand.
+const maxAhead = 16 << 10
+
+// accept takes connections until the listener is closed. Running out of descriptors is survived.
+func (n *Node) accept(l net.Listener, name string, parser func() front.Parser) {
+	for {
+		c, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			n.logf("accept front=%s error=%q", name, err)
+			time.Sleep(time.Until(at(now() + 20)))
+			continue
+		}
+		k := &conn{node: n, c: c, front: name, parser: parser()}
+		if !n.conns.add(k) {
+			k.end("full")
+			continue
+		}
+		go k.serve()
+	}
+}
+
+// conn drives one connection: one goroutine that reads, also while a request is in hand, and writes. The core
+// leaves an answer in the mailbox and wakes the goroutine by a read deadline that is over.
+type conn struct {
+	node   *Node
+	c      net.Conn
+	front  string
+	parser front.Parser
+
+	mu   sync.Mutex
+	mail *core.Answer
+
+	served int
+	open   string  // id of the request in hand
+	check  bool    // a check is in hand
+	last   bool    // the connection ends after the answer
+	since  float64 // when the last message ended, or the first byte of a part came
+	out    []byte
+}
+
+// Deliver leaves an answer for the connection. It is called by the core's goroutine and does not wait.
+func (k *conn) Deliver(a core.Answer) {
+	k.mu.Lock()
+	k.mail = &a
+	k.mu.Unlock()
+	k.c.SetReadDeadline(past)
+}
+
+func (k *conn) take() *core.Answer {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	a := k.mail
+	k.mail = nil
+	return a
+}
+
+// end closes the connection and leaves its one line in the log.
+func (k *conn) end(code string) {
+	k.node.logf("conn front=%s peer=%s code=%s served=%d", k.front, k.c.RemoteAddr(), code, k.served)
+	k.c.Close()
+}
+
+func (k *conn) serve() {
+	code := k.talk()
+	if k.open != "" {
+		k.node.in <- core.Left{ID: k.open}
+	}
+	k.node.conns.remove(k)
+	k.end(code)
+}
+
+// talk reads and writes until the connection is to end, and returns the code of the reason.
+func (k *conn) talk() string {
+	buf := make([]byte, 4096)
+	k.since = now()
+	for {
+		k.c.SetReadDeadline(k.deadline())
+		// The mailbox is looked at after the deadline was set: an answer that comes later sets it anew.
+		if a := k.take(); a != nil {
+			if code := k.answer(*a); code != "" {
+				return code
+			}
+			continue
+		}
+		if !k.busy() {
+			if m, ok := k.parser.Next(); ok {
+				if code := k.message(m); code != "" {
+					return code
+				}
+				continue
+			}
+		}
+		n, err := k.c.Read(buf)
+		if n > 0 {
+			if !k.busy() && k.parser.Buffered() == 0 {
+				k.since = now()
+			}
+			k.parser.Feed(buf[:n])
+			if k.busy() && k.parser.Buffered() > maxAhead {
+				return "ahead"
+			}
+			continue
+		}
+		switch {
+		case err == nil:
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			if d := k.deadline(); !d.IsZero() && !time.Now().Before(d) {
+				if k.parser.Buffered() > 0 {
+					return "slow"
+				}
+				return "idle"
+			}
+		case k.open != "":
+			return "gone"
+		case errors.Is(err, io.EOF) && k.parser.Buffered() == 0:
+			return "eof"
+		case errors.Is(err, net.ErrClosed):
+			return "drain"
+		default:
+			return "reset"
+		}
+	}
+}
+
+func (k *conn) busy() bool { return k.open != "" || k.check }
+
+// deadline is when the connection ends if nothing comes: none while the core owes an answer.
+func (k *conn) deadline() time.Time {
+	switch {
+	case k.busy():
+		return time.Time{}
+	case k.parser.Buffered() > 0:
+		return at(k.since + partFor)
+	}
+	return at(k.since + float64(k.node.idle.Load()))
+}
+
+// message hands a message to the core.
+func (k *conn) message(m front.Message) string {
+	if m.Fault != nil {
+		k.write(front.AppendFault(k.out[:0], m.Fault), now()+partFor)
+		return m.Fault.Code
+	}
+	k.last = m.Last
+	if m.Request == nil {
+		k.check = true
+		k.node.in <- core.Checked{Deep: m.Deep, To: k}
+		return ""
+	}
+	k.open = m.Request.ID
+	m.Request.To = k
+	k.node.in <- core.Arrived{Request: m.Request}
+	return ""
+}
+
+// answer writes the final answer to what is in hand.
+func (k *conn) answer(a core.Answer) string {
+	if a.ID != k.open {
+		return "" // of a request that is over
+	}
+	last := k.last || a.Close || a.Outcome == core.Doubled
+	k.open, k.check = "", false
+	k.out = front.AppendAnswer(k.out[:0], a, last)
+	if err := k.write(k.out, a.WriteBy); err != nil {
+		return "write"
+	}
+	k.served++
+	k.since = now()
+	switch {
+	case a.Outcome == core.Doubled:
+		return "twice-id"
+	case last:
+		return "close"
+	}
+	return ""
+}
+
+func (k *conn) write(b []byte, by float64) error {
+	k.c.SetWriteDeadline(at(by))
+	_, err := k.c.Write(b)
+	return err
+}
+
+// connTable holds the connections of callers, within the limit of sockets.
+type connTable struct {
+	mu   sync.Mutex
+	most int
+	all  map[*conn]bool
+}
+
+func (t *connTable) add(k *conn) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.all == nil {
+		t.all = map[*conn]bool{}
+	}
+	if len(t.all) >= t.most {
+		return false
+	}
+	t.all[k] = true
+	return true
+}
+
+func (t *connTable) remove(k *conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.all, k)
+}
+
+// wakeAll makes all connections look at their deadlines again.
+func (t *connTable) wakeAll() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for k := range t.all {
+		k.c.SetReadDeadline(past)
+	}
+}
+
+// closeAll ends all connections and waits, for a moment, for their lines in the log.
+func (t *connTable) closeAll() {
+	t.mu.Lock()
+	for k := range t.all {
+		k.c.SetReadDeadline(past)
+		k.c.Close()
+	}
+	t.mu.Unlock()
+	for by := now() + 50; now() < by; time.Sleep(time.Millisecond) {
+		t.mu.Lock()
+		left := len(t.all)
+		t.mu.Unlock()
+		if left == 0 {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,187 @@
+// Package node drives the payout node on real sockets: it wires the fronts, the worker pool and the announce
+// service to the core, and keeps the limits of the process. It decides nothing.
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"shelfstile/internal/announce"
+	"shelfstile/internal/core"
+	"shelfstile/internal/front"
+	"shelfstile/internal/httpfront"
+	"shelfstile/internal/pool"
+	"shelfstile/internal/settings"
+)
+
+// now is the system's Unix clock in milliseconds.
+func now() float64 { return float64(time.Now().UnixNano()) / 1e6 }
+
+// at turns a time of that clock into one for deadlines of sockets; 0 is none.
+func at(ms float64) time.Time {
+	if ms <= 0 {
+		return time.Time{}
+	}
+	return time.UnixMicro(int64(ms * 1e3))
+}
+
+// past is a deadline that is over: it wakes a connection that waits for bytes.
+var past = time.UnixMilli(1)
+
+// sockets that the process keeps for itself: its listeners, the links, the log, the runtime's own.
+const ownSockets = 32
+
+// Node is one payout node.
+type Node struct {
+	cfg  settings.Config
+	site *front.Site
+	log  io.Writer
+	mu   sync.Mutex // of the log
+
+	in   chan core.Input
+	core *core.Core
+	link *link
+
+	listeners []net.Listener
+	conns     connTable
+	idle      atomic.Int64 // milliseconds that a connection may be idle
+	taking    atomic.Bool
+	over      chan struct{}
+}
+
+// New returns the node of a configuration that has passed its check.
+func New(cfg settings.Config, log io.Writer) (*Node, error) {
+	c, err := core.New(cfg.Settings.Policy, cfg.Seed)
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{cfg: cfg, site: front.NewSite(cfg.Settings.Classes, cfg.Settings.Policy), log: log, core: c,
+		in: make(chan core.Input, 4096), over: make(chan struct{})}
+	n.conns.most = cfg.Sockets - ownSockets
+	n.idle.Store(int64(cfg.Settings.Policy.KeepAlive))
+	n.taking.Store(true)
+	n.link = &link{node: n, addr: cfg.Pool, machine: pool.New(cfg.Settings.Classes, cfg.Settings.Gauges)}
+	return n, nil
+}
+
+func (n *Node) logf(format string, args ...any) {
+	b := fmt.Appendf(nil, "%s ", time.Now().UTC().Format("15:04:05.000"))
+	b = fmt.Appendf(b, format+"\n", args...)
+	n.mu.Lock()
+	n.log.Write(b)
+	n.mu.Unlock()
+}
+
+// limits keeps the process within what the configuration grants it.
+func (n *Node) limits() {
+	runtime.GOMAXPROCS(max(1, int(n.cfg.Cores)))
+	debug.SetMemoryLimit(int64(n.cfg.MemoryMB) << 20 * 3 / 4)
+}
+
+// Run serves until a signal or the end of ctx makes the node leave and all is answered.
+func (n *Node) Run(ctx context.Context, stop <-chan os.Signal) error {
+	n.limits()
+	l, err := net.Listen("tcp", n.cfg.Listen)
+	if err != nil {
+		return err
+	}
+	n.listeners = append(n.listeners, l)
+	n.logf("serve name=%s listen=%s pool=%s", n.cfg.Name, n.cfg.Listen, n.cfg.Pool)
+	go n.accept(l, "http", func() front.Parser { return httpfront.New(n.site) })
+	go n.link.run()
+	go n.announce()
+	go func() {
+		select {
+		case <-stop:
+		case <-ctx.Done():
+		}
+		n.in <- core.Leave{StopAt: now() + n.cfg.StopMs}
+	}()
+	n.loop()
+	n.conns.closeAll()
+	n.logf("end name=%s", n.cfg.Name)
+	return nil
+}
+
+// loop is the goroutine of the core: one step for all that is ready.
+func (n *Node) loop() {
+	var batch []core.Input
+	timer := time.NewTimer(time.Hour)
+	for {
+		wait := time.Hour
+		if next := n.core.Next(); next > 0 {
+			wait = time.Duration((next - now()) * 1e6)
+		}
+		batch = batch[:0]
+		if wait > 0 {
+			timer.Reset(wait)
+			select {
+			case i := <-n.in:
+				batch = append(batch, i)
+			case <-timer.C:
+			}
+		}
+	ready:
+		for len(batch) < 4096 {
+			select {
+			case i := <-n.in:
+				batch = append(batch, i)
+			default:
+				break ready
+			}
+		}
+		for _, o := range n.core.Step(now(), batch) {
+			if _, over := o.(core.Over); over {
+				return
+			}
+			n.carry(o)
+		}
+		n.link.flush()
+	}
+}
+
+// carry carries out what the core wants. Nothing here waits for a socket.
+func (n *Node) carry(o core.Output) {
+	switch o := o.(type) {
+	case core.Reply:
+		o.To.Deliver(o.Answer)
+	case core.Spawn, core.Suspend, core.Poll, core.Verify:
+		n.link.push(o)
+	case core.Idle:
+		n.idle.Store(int64(o.After))
+		n.conns.wakeAll()
+	case core.Leaving:
+		n.taking.Store(false)
+		n.logf("drain stop_ms=%.0f", n.cfg.StopMs)
+	case core.Deaf:
+		for _, l := range n.listeners {
+			l.Close()
+		}
+	case core.Line:
+		n.logf("%s", o.Text)
+	}
+}
+
+// announce reports to the announce service until the node ends.
+func (n *Node) announce() {
+	var c net.Conn
+	for next := now(); ; next += announce.Every {
+		if c == nil {
+			c, _ = net.Dial("udp", n.cfg.Announce)
+		}
+		if c != nil {
+			c.SetWriteDeadline(at(now() + announce.Every))
+			// A report that is refused while the service is down is of no account: the next one follows.
+			c.Write(announce.Report(n.cfg.Name, n.taking.Load()))
+		}
+		time.Sleep(time.Until(at(next + announce.Every)))
+	}
+}
--- /dev/null
+++ b/internal/pool/pool.go
@@ -0,0 +1,211 @@
+// Package pool speaks with the worker pool: JSON objects, one a line. Link is a state machine that knows no
+// socket; it outlives the connections, so that a run is started once however often the link breaks.
+package pool
+
+import (
+	"bytes"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"strconv"
+
+	"github.com/valyala/fastjson"
+
+	"shelfstile"
+	"shelfstile/internal/core"
+)
+
+// maxLine bounds a notice: a result of 4 KiB in base64 and the fields around it fit four times over.
+const maxLine = 32 << 10
+
+// Link is one node's talk with its worker pool. It is used from one goroutine at a time.
+//
+// A link in step writes commands as they come. After a break it binds with the serial of the last notice that
+// was read, takes the notices of the meantime, and asks for gauges: what comes before that answer is the past.
+// Only then commands go out again, and the core is told which starts are in doubt.
+type Link struct {
+	classes []string
+	gauges  []string
+
+	parser fastjson.Parser
+	in     []byte
+	serial uint64 // of the last notice read
+	fences int
+	fence  string          // tag of the poll that ends the past; empty when in step
+	queue  []command       // not yet handed to a connection
+	sent   map[string]bool // starts handed to a connection whose end was not heard of
+	order  []string        // the same in order of sending, with some that are over
+}
+
+// command is a line for the worker pool; spawn is the id if it starts a run.
+type command struct {
+	line  []byte
+	spawn string
+}
+
+// New returns the link of a node that starts. The names of the classes and of the gauges are in the order of
+// the settings.
+func New(classes, gauges []string) *Link {
+	return &Link{classes: classes, gauges: gauges, sent: map[string]bool{}, fence: "none yet"}
+}
+
+// Opened starts the talk on a new connection and returns the first bytes for it.
+func (l *Link) Opened() []byte {
+	l.in = l.in[:0]
+	l.fence = "none yet"
+	return fmt.Appendf(nil, `{"msg":"bind","serial":%d}`+"\n", l.serial)
+}
+
+// Push queues a command of the core. Gauges and checks are worth asking for only on a link in step.
+func (l *Link) Push(o core.Output) {
+	switch o := o.(type) {
+	case core.Spawn:
+		b := append([]byte(`{"msg":"spawn","call":"`), o.ID...)
+		b = append(b, `","service":"`...)
+		b = append(b, l.classes[o.Class]...)
+		b = append(b, `","blob":"`...)
+		b = base64.StdEncoding.AppendEncode(b, o.Body)
+		l.queue = append(l.queue, command{append(b, "\"}\n"...), o.ID})
+	case core.Suspend:
+		l.queue = append(l.queue, command{line: fmt.Appendf(nil, `{"msg":"suspend","call":"%s"}`+"\n", o.ID)})
+	case core.Poll:
+		l.queue = append(l.queue, command{line: []byte(`{"msg":"poll","cookie":"gauges"}` + "\n")})
+	case core.Verify:
+		l.queue = append(l.queue, command{line: fmt.Appendf(nil, `{"msg":"verify","cookie":"%s"}`+"\n", o.Tag)})
+	}
+}
+
+// Out appends the commands that may go out now. From here on they count as handed to the connection: their
+// starts are in doubt if it breaks, even if no byte arrived.
+func (l *Link) Out(to []byte) []byte {
+	if l.fence != "" {
+		return to
+	}
+	for _, c := range l.queue {
+		to = append(to, c.line...)
+		if c.spawn != "" && !l.sent[c.spawn] {
+			l.sent[c.spawn] = true
+			l.order = append(l.order, c.spawn)
+		}
+	}
+	l.queue = l.queue[:0]
+	return to
+}
+
+// ErrLine is a line that is too long to be a notice.
+var ErrLine = errors.New("notice too long")
+
+// Feed takes bytes that were read. It returns what they tell the core and bytes to be written at once. An error
+// means that the connection is of no use any more.
+func (l *Link) Feed(p []byte) (tell []core.Input, reply []byte, err error) {
+	l.in = append(l.in, p...)
+	for {
+		line, rest, ok := bytes.Cut(l.in, []byte("\n"))
+		if !ok {
+			break
+		}
+		if len(line) > 0 {
+			v, err := l.parser.ParseBytes(line)
+			if err != nil {
+				return tell, reply, fmt.Errorf("notice: %w", err)
+			}
+			t, r := l.notice(v)
+			tell, reply = append(tell, t...), append(reply, r...)
+		}
+		l.in = l.in[:copy(l.in, rest)]
+	}
+	if len(l.in) > maxLine {
+		return tell, reply, ErrLine
+	}
+	return tell, reply, nil
+}
+
+var ends = map[string]core.End{"OK": core.EndOK, "ERROR": core.EndError, "STOPPED": core.EndStopped,
+	"MOOT": core.EndMoot}
+
+func (l *Link) notice(v *fastjson.Value) (tell []core.Input, reply []byte) {
+	text := func(key string) string { return string(v.GetStringBytes(key)) }
+	if v.Exists("serial") {
+		n := v.GetUint64("serial")
+		if n <= l.serial {
+			return nil, nil // told again after a break
+		}
+		l.serial = n
+	}
+	switch text("msg") {
+	case "bound":
+		l.fences++
+		l.fence = "fence" + strconv.Itoa(l.fences)
+		tell = append(tell, core.Bound{Cold: text("how") == "COLD", Age: v.GetFloat64("duration")})
+		reply = fmt.Appendf(nil, `{"msg":"poll","cookie":"%s"}`+"\n", l.fence)
+	case "finished":
+		call := text("call")
+		l.over(call)
+		end, ok := ends[text("how")]
+		if !ok {
+			end = core.EndError
+		}
+		blob := v.GetStringBytes("blob")
+		result, err := base64.StdEncoding.AppendDecode(nil, blob)
+		if err != nil {
+			result, end = nil, core.EndError // a result that can't be read is none
+		}
+		tell = append(tell, core.Finished{ID: call, End: end, Took: v.GetFloat64("duration"), Result: result})
+	case "polled":
+		if l.fence != "" && text("cookie") == l.fence {
+			l.fence = ""
+			tell = append(tell, core.Synced{Unsure: l.unsure()})
+		}
+		tell = append(tell, core.Gauged{Gauges: l.stats(v.GetArray("stats"))})
+	case "verified":
+		tell = append(tell, core.Verified{Tag: text("cookie"), OK: text("how") == "OK"})
+	case "unknown":
+		if text("how") == "spawn" {
+			l.over(text("call"))
+			tell = append(tell, core.NotStarted{ID: text("call")})
+		}
+	}
+	return tell, reply
+}
+
+func (l *Link) over(id string) {
+	delete(l.sent, id)
+	if len(l.order) > 64 && len(l.order) > 2*len(l.sent) {
+		l.order = l.unsure()
+	}
+}
+
+// unsure lists the starts whose end was not heard of.
+func (l *Link) unsure() (ids []string) {
+	for _, id := range l.order {
+		if l.sent[id] {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// stats puts the gauges in their places; those that are not told are taken as not measured.
+func (l *Link) stats(values []*fastjson.Value) shelfstile.Gauges {
+	g := shelfstile.Gauges{CPU: -1}
+	for i, name := range l.gauges {
+		if i >= len(values) {
+			break
+		}
+		v, err := values[i].Float64()
+		if err != nil {
+			continue
+		}
+		switch name {
+		case "cpu_busy":
+			g.CPU = v
+		case "runnable":
+			g.Runnable = v
+		case "mem_used":
+			g.Memory = v
+		case "sockets":
+			g.Conns = v
+		}
+	}
+	return g
+}
--- /dev/null
+++ b/internal/settings/config.go
@@ -0,0 +1,96 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
+
+	"github.com/valyala/fastjson"
+
+	"shelfstile"
+)
+
+// Config is what a payout node is told at its start.
+type Config struct {
+	Name, Listen, Pool, Announce string
+	Seed                         uint64
+	StopMs                       float64
+	Cores                        float64 // of the program, not of the worker pool
+	MemoryMB, Sockets            int
+	Settings                     Settings
+}
+
+// ParseConfig reads a configuration. The error names every fault.
+func ParseConfig(text []byte) (Config, error) {
+	v, err := fastjson.ParseBytes(text)
+	if err != nil {
+		return Config{}, fmt.Errorf("config: %w", err)
+	}
+	r := reader{}
+	root := r.object("config", v)
+	limits := r.object("limits", root.Get("limits"))
+	c := Config{Name: r.text(root, "name"), Listen: r.text(root, "listen"), Pool: r.text(root, "pool"),
+		Announce: r.text(root, "announce"), StopMs: r.num(root, "stop_ms"), Cores: r.num(limits, "cores"),
+		MemoryMB: r.count(limits, "memory_mb"), Sockets: r.count(limits, "sockets")}
+	if seed := r.text(root, "seed"); seed != "" {
+		if c.Seed, err = strconv.ParseUint(seed, 16, 64); err != nil {
+			r.fault("seed %q is no hexadecimal number", seed)
+		}
+	}
+	want := func(ok bool, format string, args ...any) {
+		if !ok {
+			r.fault(format, args...)
+		}
+	}
+	want(c.Name != "", "name is empty")
+	for _, a := range []struct{ key, addr string }{{"listen", c.Listen}, {"pool", c.Pool}, {"announce", c.Announce}} {
+		if err := CheckAddr(a.addr); err != nil {
+			r.fault("%s: %v", a.key, err)
+		}
+	}
+	want(c.StopMs > 0, "stop_ms is %v, want more than 0", c.StopMs)
+	want(c.Cores > 0, "limits.cores is %v, want more than 0", c.Cores)
+	want(c.MemoryMB >= 16, "limits.memory_mb is %d, want at least 16", c.MemoryMB)
+	want(c.Sockets >= 64, "limits.sockets is %d, want at least 64", c.Sockets)
+	if root.Get("settings") == nil {
+		r.fault("settings are absent")
+	}
+	s, err := FromValue(root.Get("settings"))
+	c.Settings = s
+	return c, errors.Join(errors.Join(r.faults...), err, s.Policy.Check(), s.serves())
+}
+
+// CheckAddr tells what is wrong with an address of the form HOST:PORT.
+func CheckAddr(addr string) error {
+	host, port, err := net.SplitHostPort(addr)
+	if err != nil {
+		return err
+	}
+	n, err := strconv.ParseUint(port, 10, 16)
+	if net.ParseIP(host) == nil || err != nil || n == 0 {
+		return fmt.Errorf("%q is not of the form IP:PORT", addr)
+	}
+	return nil
+}
+
+// serves tells what a payout node can't do though the module could: its protocols carry no calls to a
+// dependency and no name by which tries of a keyed class know each other.
+func (s Settings) serves() error {
+	var errs []error
+	fault := func(format string, args ...any) { errs = append(errs, fmt.Errorf("settings: "+format, args...)) }
+	seen := map[string]bool{}
+	for i, c := range s.Policy.Classes {
+		if n := s.Classes[i]; n == "" || seen[n] {
+			fault("profiles[%d].name is %q, want a name of its own", i, n)
+		}
+		seen[s.Classes[i]] = true
+		if c.Repeat == shelfstile.Keyed {
+			fault("profiles[%d].repeat is by_key, which the protocols don't carry", i)
+		}
+	}
+	if s.Policy.Below != shelfstile.BelowNone {
+		fault("below is %q, and the protocols carry no calls", s.Policy.Below)
+	}
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,167 @@
+// Package settings is the one parser of the settings object that an instance is told at its start. The payout
+// node reads it from its configuration, benchlink from the simulator's first message.
+package settings
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/valyala/fastjson"
+
+	"shelfstile"
+)
+
+// Settings is what the object holds: the module's own settings, and the names that are used on the wires.
+type Settings struct {
+	Policy  shelfstile.Settings
+	Classes []string // names of the classes, in the order of Policy.Classes
+	Gauges  []string // names of the gauges, in the order in which the worker pool gives them
+}
+
+// Parse reads the object. Unknown keys are passed over and absent ones are 0; a value of the wrong type or an
+// unknown word is a fault, and the error names all of them.
+func Parse(text []byte) (Settings, error) {
+	v, err := fastjson.ParseBytes(text)
+	if err != nil {
+		return Settings{}, fmt.Errorf("settings: %w", err)
+	}
+	return FromValue(v)
+}
+
+// FromValue is Parse for an object that is part of a larger one. It keeps nothing of v.
+func FromValue(v *fastjson.Value) (Settings, error) {
+	r := reader{}
+	root := r.object("settings", v)
+	sp, ru := r.object("specifics", root.Get("specifics")), r.object("rules", root.Get("rules"))
+	goal, allowed := r.object("goal", root.Get("goal")), r.object("allowed", root.Get("allowed"))
+	s := Settings{Policy: shelfstile.Settings{
+		Servers: r.count(root, "servers"), OverShareWorth: r.num(root, "over_share_worth"),
+		WorthByWork: r.text(root, "worth_by") == "work", Tick: r.num(root, "tick_ms"),
+		Callers: r.count(sp, "callers"), Cores: r.count(sp, "cores"), Cold: r.flag(sp, "cold"),
+		Memory: r.num(sp, "ram_kb"), RunFactor: r.num(sp, "run_factor"), EntryKB: r.num(sp, "entry_kb"),
+		HeardFor: r.num(sp, "heard_for_ms"), TellsGone: r.flag(sp, "tells_gone"),
+		PassesDeadline: r.flag(sp, "passes_deadline"), CallShare: r.num(sp, "calls_out"),
+		CallShareWindow: r.num(sp, "share_span_ms"), CallLinger: r.num(sp, "linger_ms"),
+		Fresh: r.num(sp, "fresh_ms"), DeepChecks: r.flag(sp, "deep_checks"), KeepAlive: r.num(sp, "keepalive_max_ms"),
+		Rules: shelfstile.Rules{AnswerGrace: r.num(ru, "grace_to_answer_ms"), ColdFrom: r.num(ru, "cold_from"),
+			RampTime: r.num(ru, "ramp_time_ms"), DrainGrace: r.num(ru, "drain_grace_ms"),
+			FallMultiple: r.num(ru, "fall_multiple"), FallWindow: r.num(ru, "overload_for_ms")},
+		Goal: shelfstile.Goal{Whole: r.num(goal, "whole"), WorstClass: r.num(goal, "worst_class"),
+			WorstTenant: r.num(goal, "worst_tenant"), WorstWindow: r.num(goal, "worst_window")},
+		Halt: named(&r, sp, "halt", map[string]shelfstile.Halt{"": shelfstile.HaltNone, "silent": shelfstile.HaltNone,
+			"abort": shelfstile.HaltAbort, "suspend": shelfstile.HaltPause}),
+		Say: named(&r, sp, "say", map[string]shelfstile.Say{"": shelfstile.SayNothing, "silent": shelfstile.SayNothing,
+			"window": shelfstile.SayWindow, "threshold": shelfstile.SayThreshold, "share_of": shelfstile.SayShare}),
+		Below: named(&r, sp, "below", map[string]shelfstile.Below{"": shelfstile.BelowNone,
+			"silent": shelfstile.BelowNone, "shared": shelfstile.BelowShared, "tier": shelfstile.BelowTier}),
+	}}
+	if r.flag(allowed, "retry_after") {
+		s.Policy.MaxRetryAfter = r.num(allowed, "max_retry_after_ms")
+	}
+	calls, skips := r.list(sp, "class_calls"), r.list(sp, "class_skip_worth")
+	for i, e := range r.list(root, "profiles") {
+		o := r.object(fmt.Sprintf("profiles[%d]", i), e)
+		c := shelfstile.Class{Aim: r.num(o, "aim_ms"), AimStretch: r.num(o, "aim_stretch"),
+			Deadline: r.num(o, "deadline_ms"), Worth: r.num(o, "worth"), LateWorth: r.num(o, "late_worth"),
+			Window: r.num(o, "memory_span_ms"),
+			Repeat: named(&r, o, "repeat", map[string]shelfstile.Repeat{"repeatable": shelfstile.Safe,
+				"by_key": shelfstile.Keyed, "once": shelfstile.Unsafe})}
+		if i < len(calls) {
+			c.Calls = calls[i].Type() == fastjson.TypeTrue
+		}
+		if i < len(skips) {
+			c.SkipWorth = skips[i].GetFloat64()
+		}
+		s.Policy.Classes = append(s.Policy.Classes, c)
+		s.Classes = append(s.Classes, r.text(o, "name"))
+	}
+	for i, e := range r.list(root, "parties") {
+		o := r.object(fmt.Sprintf("parties[%d]", i), e)
+		s.Policy.Tenants = append(s.Policy.Tenants, shelfstile.Tenant{QuotaPerSecond: r.num(o, "quota_per_s")})
+	}
+	for _, e := range r.list(sp, "own_stats") {
+		s.Gauges = append(s.Gauges, string(e.GetStringBytes()))
+	}
+	return s, errors.Join(r.faults...)
+}
+
+// reader takes typed values out of objects and collects what is wrong.
+type reader struct{ faults []error }
+
+func (r *reader) fault(format string, args ...any) {
+	r.faults = append(r.faults, fmt.Errorf("settings: "+format, args...))
+}
+
+func (r *reader) object(name string, v *fastjson.Value) *fastjson.Value {
+	if v != nil && v.Type() != fastjson.TypeObject {
+		r.fault("%s is no object", name)
+		return nil
+	}
+	return v
+}
+
+func (r *reader) num(o *fastjson.Value, key string) float64 {
+	v := o.Get(key)
+	if v == nil || v.Type() == fastjson.TypeNull {
+		return 0
+	}
+	f, err := v.Float64()
+	if err != nil {
+		r.fault("%s is no number", key)
+	}
+	return f
+}
+
+func (r *reader) count(o *fastjson.Value, key string) int {
+	f := r.num(o, key)
+	if f != float64(int(f)) {
+		r.fault("%s is %v, want a whole number", key, f)
+		return 0
+	}
+	return int(f)
+}
+
+func (r *reader) flag(o *fastjson.Value, key string) bool {
+	v := o.Get(key)
+	if v == nil || v.Type() == fastjson.TypeNull {
+		return false
+	}
+	b, err := v.Bool()
+	if err != nil {
+		r.fault("%s is neither true nor false", key)
+	}
+	return b
+}
+
+func (r *reader) text(o *fastjson.Value, key string) string {
+	v := o.Get(key)
+	if v == nil || v.Type() == fastjson.TypeNull {
+		return ""
+	}
+	b, err := v.StringBytes()
+	if err != nil {
+		r.fault("%s is no text", key)
+	}
+	return string(b)
+}
+
+func (r *reader) list(o *fastjson.Value, key string) []*fastjson.Value {
+	v := o.Get(key)
+	if v == nil || v.Type() == fastjson.TypeNull {
+		return nil
+	}
+	a, err := v.Array()
+	if err != nil {
+		r.fault("%s is no list", key)
+	}
+	return a
+}
+
+func named[T any](r *reader, o *fastjson.Value, key string, names map[string]T) T {
+	word := r.text(o, key)
+	v, ok := names[word]
+	if !ok {
+		r.fault("unknown %s %q", key, word)
+	}
+	return v
+}
