--- a/api.go
+++ b/api.go
@@ -1,4 +1,4 @@
-// Package shelfstile decides, inside one server of a fleet, what that server takes, runs and turns away.
+// Package whinrudder decides, inside one server of a fleet, what that server takes, runs and turns away.
 //
 // A host creates one [Policy] for each server process with [New] and calls [Policy.Step] from a single
 // goroutine whenever something happened: all events of one instant go in together, in order of arrival, and
@@ -12,7 +12,7 @@
 // The host owes the policy an [Ended] for each [Run] and [Reuse] that took effect, and a [Timer] for each
 // [Wake]. The policy owes the host one final answer for each [Arrival] by the time it falls due: the end of a
 // run, or one of [Refuse] and [Fail].
-package shelfstile
+package whinrudder
 
 import (
 	"errors"
@@ -150,7 +150,7 @@
 	var errs []error
 	want := func(ok bool, what string, args ...any) {
 		if !ok {
-			errs = append(errs, fmt.Errorf("shelfstile: settings: "+what, args...))
+			errs = append(errs, fmt.Errorf("whinrudder: settings: "+what, args...))
 		}
 	}
 	figure := func(name string, v float64) {
--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -8,8 +8,8 @@
 	"io"
 	"os"
 
-	"shelfstile"
-	"shelfstile/internal/wire"
+	"whinrudder"
+	"whinrudder/internal/wire"
 )
 
 func main() {
@@ -22,13 +22,13 @@
 // serve answers batches until the input ends.
 func serve(in io.Reader, out io.Writer) error {
 	dec := wire.NewDecoder(in)
-	policies := map[int]*shelfstile.Policy{}
+	policies := map[int]*whinrudder.Policy{}
 	var (
 		batch   wire.Batch
 		reply   wire.Reply
-		events  = map[int][]shelfstile.Event{}
+		events  = map[int][]whinrudder.Event{}
 		order   []int
-		actions []shelfstile.Action
+		actions []whinrudder.Action
 	)
 	for {
 		if err := dec.Decode(&batch); err != nil {
@@ -45,7 +45,7 @@
 				events[it.Instance] = events[it.Instance][:0]
 				continue
 			case it.Start != nil:
-				p, err := shelfstile.New(it.Start.Settings, it.Start.Seed)
+				p, err := whinrudder.New(it.Start.Settings, it.Start.Seed)
 				if err != nil {
 					return fmt.Errorf("instance %d: %w", it.Instance, err)
 				}
@@ -85,8 +85,8 @@
 }
 
 // step runs one step of a policy and turns a panic into the text of a fault.
-func step(p *shelfstile.Policy, now float64, ev []shelfstile.Event, to []shelfstile.Action) (
-	actions []shelfstile.Action, fault string) {
+func step(p *whinrudder.Policy, now float64, ev []whinrudder.Event, to []whinrudder.Action) (
+	actions []whinrudder.Action, fault string) {
 	defer func() {
 		if r := recover(); r != nil {
 			fault = fmt.Sprintf("panic: %v", r)
--- a/cmd/benchlink/main_test.go
+++ b/cmd/benchlink/main_test.go
@@ -36,7 +36,7 @@
 
 func TestServeReportsBadSettings(t *testing.T) {
 	if _, err := talk(t, "TICK 1\nAT 7\nPROVISION 1 {}\nEOF_BATCH\n"); err == nil ||
-		!strings.Contains(err.Error(), "instance 7: shelfstile: settings: Cores") {
+		!strings.Contains(err.Error(), "instance 7: whinrudder: settings: Cores") {
 		t.Fatalf("error %v", err)
 	}
 }
--- a/cmd/whinrudder/main.go
+++ b/cmd/whinrudder/main.go
@@ -11,8 +11,8 @@
 
 	"github.com/urfave/cli/v3"
 
-	"shelfstile/internal/node"
-	"shelfstile/internal/settings"
+	"whinrudder/internal/node"
+	"whinrudder/internal/settings"
 )
 
 // version is the version of the program.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -12,7 +12,7 @@
 	"fmt"
 	"slices"
 
-	"shelfstile"
+	"whinrudder"
 )
 
 // Outcome says how a request ended for its caller.
@@ -64,8 +64,8 @@
 	EndMoot
 )
 
-var endCodes = [...]shelfstile.Code{EndOK: shelfstile.OK, EndError: shelfstile.Error,
-	EndStopped: shelfstile.Cancelled, EndMoot: shelfstile.Moot}
+var endCodes = [...]whinrudder.Code{EndOK: whinrudder.OK, EndError: whinrudder.Error,
+	EndStopped: whinrudder.Cancelled, EndMoot: whinrudder.Moot}
 
 // An Input is something that happened outside.
 type Input interface{ input() }
@@ -102,7 +102,7 @@
 	// NotStarted tells that the worker pool did not carry out the start of a run.
 	NotStarted struct{ ID string }
 	// Gauged brings the gauges of the worker pool.
-	Gauged struct{ shelfstile.Gauges }
+	Gauged struct{ whinrudder.Gauges }
 	// Verified tells how the work of a deep check ended.
 	Verified struct {
 		Tag string
@@ -209,13 +209,13 @@
 
 // Core keeps the books of one node. Create it with New.
 type Core struct {
-	settings shelfstile.Settings
+	settings whinrudder.Settings
 	seed     uint64
-	policy   *shelfstile.Policy // nil until the worker pool is up
+	policy   *whinrudder.Policy // nil until the worker pool is up
 
 	now     float64
-	events  []shelfstile.Event
-	actions []shelfstile.Action
+	events  []whinrudder.Event
+	actions []whinrudder.Action
 	out     []Output
 
 	reqs   map[string]*request
@@ -230,7 +230,7 @@
 
 	checks []check
 	tags   int
-	health shelfstile.Health
+	health whinrudder.Health
 	load   float64
 
 	leaving bool
@@ -240,7 +240,7 @@
 }
 
 // New returns the core of a node that starts now.
-func New(s shelfstile.Settings, seed uint64) (*Core, error) {
+func New(s whinrudder.Settings, seed uint64) (*Core, error) {
 	if err := s.Check(); err != nil {
 		return nil, err
 	}
@@ -297,10 +297,10 @@
 }
 
 func (c *Core) do(o Output)              { c.out = append(c.out, o) }
-func (c *Core) event(e shelfstile.Event) { c.events = append(c.events, e) }
+func (c *Core) event(e whinrudder.Event) { c.events = append(c.events, e) }
 func (c *Core) logf(f string, a ...any)  { c.do(Line{fmt.Sprintf(f, a...)}) }
 func (c *Core) fail(r *request)          { c.answer(r, Answer{Outcome: Failed}) }
-func id(s string) shelfstile.RequestID   { return shelfstile.RequestID(s) }
+func id(s string) whinrudder.RequestID   { return whinrudder.RequestID(s) }
 func (c *Core) direct(to Sink, a Answer) { c.do(Reply{to, c.dress(a)}) }
 func (c *Core) good(on bool) (a Answer) {
 	if !on {
@@ -343,7 +343,7 @@
 		if r := c.reqs[i.ID]; r != nil && r.open {
 			r.open = false
 			c.open--
-			c.event(shelfstile.Gone{ID: id(r.ID)})
+			c.event(whinrudder.Gone{ID: id(r.ID)})
 			c.keys.gone(r.ID)
 			c.drop(r)
 		}
@@ -352,7 +352,7 @@
 	case Leave:
 		if !c.leaving {
 			c.leaving, c.stopAt = true, i.StopAt
-			c.event(shelfstile.Notice{StopAt: i.StopAt})
+			c.event(whinrudder.Notice{StopAt: i.StopAt})
 			c.do(Leaving{})
 		}
 	case Bound:
@@ -368,7 +368,7 @@
 		c.finished(Finished{ID: i.ID, End: EndMoot})
 	case Gauged:
 		for _, w := range c.asked {
-			c.event(shelfstile.Timer{Token: w.token, Gauges: i.Gauges})
+			c.event(whinrudder.Timer{Token: w.token, Gauges: i.Gauges})
 		}
 		c.asked = c.asked[:0]
 	case Verified:
@@ -384,7 +384,7 @@
 	}
 	s := c.settings
 	s.Cold = b.Cold
-	p, err := shelfstile.New(s, c.seed)
+	p, err := whinrudder.New(s, c.seed)
 	if err != nil {
 		c.logf("module fault: %v", err)
 		return
@@ -392,7 +392,7 @@
 	c.policy = p
 	c.act(p.Step(c.now-b.Age, nil, c.actions[:0]))
 	if c.leaving {
-		c.event(shelfstile.Notice{StopAt: c.stopAt})
+		c.event(whinrudder.Notice{StopAt: c.stopAt})
 	}
 }
 
@@ -411,9 +411,9 @@
 		return
 	}
 	sc := c.settings.Classes[q.Class]
-	a := shelfstile.Arrival{ID: id(q.ID), Due: q.Due, Caller: q.Caller, Unread: max(0, c.now-q.Came), KB: q.KB,
-		Rank: q.Rank, Key: q.Key, Class: q.Class, Write: sc.Repeat != shelfstile.Safe}
-	if c.settings.Fresh > 0 && sc.Repeat == shelfstile.Safe && q.Key != "" {
+	a := whinrudder.Arrival{ID: id(q.ID), Due: q.Due, Caller: q.Caller, Unread: max(0, c.now-q.Came), KB: q.KB,
+		Rank: q.Rank, Key: q.Key, Class: q.Class, Write: sc.Repeat != whinrudder.Safe}
+	if c.settings.Fresh > 0 && sc.Repeat == whinrudder.Safe && q.Key != "" {
 		a.RepeatOf = id(c.keys.repeats(q, c.now))
 	}
 	c.event(a)
@@ -428,7 +428,7 @@
 		if r == nil || !r.running {
 			continue
 		}
-		if c.settings.Classes[r.Class].Repeat != shelfstile.Safe {
+		if c.settings.Classes[r.Class].Repeat != whinrudder.Safe {
 			c.logf("run %s in doubt", s)
 			continue
 		}
@@ -442,7 +442,7 @@
 		return // of a life that is over, or told twice
 	}
 	r.running = false
-	c.event(shelfstile.Ended{ID: id(r.ID), Code: endCodes[f.End], Latency: f.Took})
+	c.event(whinrudder.Ended{ID: id(r.ID), Code: endCodes[f.End], Latency: f.Took})
 	c.keys.ended(r.ID, f.End == EndOK, f.Result, c.now, c.settings.Fresh, c.reuse)
 	if f.End == EndOK {
 		c.answer(r, Answer{Outcome: Served, Result: f.Result})
@@ -458,14 +458,14 @@
 	if r == nil || !r.open {
 		return
 	}
-	code := shelfstile.OK
+	code := whinrudder.OK
 	if ok {
 		c.answer(r, Answer{Outcome: Served, Result: result})
 	} else {
-		code = shelfstile.Error
+		code = whinrudder.Error
 		c.fail(r)
 	}
-	c.event(shelfstile.Ended{ID: id(s), Code: code})
+	c.event(whinrudder.Ended{ID: id(s), Code: code})
 }
 
 func (c *Core) checked(k Checked) {
@@ -498,17 +498,17 @@
 // timers tells the module of the timers that are due. One with a token wants gauges as of now: they are asked
 // for, and if they don't come at once, the timer goes without.
 func (c *Core) timers() {
-	none := shelfstile.Gauges{CPU: -1}
+	none := whinrudder.Gauges{CPU: -1}
 	if len(c.asked) > 0 && c.now >= c.askBy {
 		for _, w := range c.asked {
-			c.event(shelfstile.Timer{Token: w.token, Gauges: none})
+			c.event(whinrudder.Timer{Token: w.token, Gauges: none})
 		}
 		c.asked = c.asked[:0]
 	}
 	for len(c.wakes) > 0 && c.wakes[0].at <= c.now {
 		w := heap.Pop(&c.wakes).(wake)
 		if w.token == 0 || !c.linked {
-			c.event(shelfstile.Timer{Token: w.token, Gauges: none})
+			c.event(whinrudder.Timer{Token: w.token, Gauges: none})
 			continue
 		}
 		if len(c.asked) == 0 {
@@ -537,45 +537,45 @@
 	}
 }
 
-func (c *Core) act(actions []shelfstile.Action) {
+func (c *Core) act(actions []whinrudder.Action) {
 	c.actions = actions
 	for _, a := range actions {
 		switch a := a.(type) {
-		case shelfstile.Run:
+		case whinrudder.Run:
 			if r := c.reqs[string(a.ID)]; r != nil && r.open && !r.running {
 				r.running = true
 				c.do(Spawn{r.ID, r.Class, r.Body})
 			}
-		case shelfstile.Stop:
+		case whinrudder.Stop:
 			if r := c.reqs[string(a.ID)]; r != nil && r.running {
 				c.do(Suspend{r.ID})
 			}
-		case shelfstile.Refuse:
+		case whinrudder.Refuse:
 			if r := c.reqs[string(a.ID)]; r != nil {
 				c.keys.gone(r.ID)
 				c.answer(r, Answer{Outcome: Refused, Wait: a.RetryAfter, Last: a.NotElsewhere})
 			}
-		case shelfstile.Fail:
+		case whinrudder.Fail:
 			if r := c.reqs[string(a.ID)]; r != nil {
 				c.fail(r)
 			}
-		case shelfstile.Keep:
+		case whinrudder.Keep:
 			if r := c.reqs[string(a.ID)]; r != nil {
 				c.keys.keep(r.Request, c.now+a.For)
 			}
-		case shelfstile.Forget:
+		case whinrudder.Forget:
 			c.keys.forget(string(a.ID))
-		case shelfstile.Reuse:
+		case whinrudder.Reuse:
 			c.keys.reuse(string(a.ID), c.reuse)
-		case shelfstile.Health:
+		case whinrudder.Health:
 			c.health = a
-		case shelfstile.Advertise:
+		case whinrudder.Advertise:
 			c.load = a.Value
-		case shelfstile.CloseIdle:
+		case whinrudder.CloseIdle:
 			c.do(Idle{a.After})
-		case shelfstile.Wake:
+		case whinrudder.Wake:
 			heap.Push(&c.wakes, wake{a.At, a.Token})
-		case shelfstile.Log:
+		case whinrudder.Log:
 			c.logf("module: %s", a.Text)
 		default:
 			c.logf("module fault: %T has no meaning here", a)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -8,8 +8,8 @@
 	"strconv"
 	"strings"
 
-	"shelfstile"
-	"shelfstile/internal/core"
+	"whinrudder"
+	"whinrudder/internal/core"
 )
 
 // MaxBody is the largest body of a request.
@@ -44,11 +44,11 @@
 // Site is what a front must know to check a request.
 type Site struct {
 	Classes map[string]int
-	Policy  shelfstile.Settings
+	Policy  whinrudder.Settings
 }
 
 // NewSite names the classes in their order.
-func NewSite(names []string, s shelfstile.Settings) *Site {
+func NewSite(names []string, s whinrudder.Settings) *Site {
 	t := &Site{Classes: map[string]int{}, Policy: s}
 	for i, n := range names {
 		t.Classes[n] = i
--- a/internal/httpfront/httpfront.go
+++ b/internal/httpfront/httpfront.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"strings"
 
-	"shelfstile/internal/front"
+	"whinrudder/internal/front"
 )
 
 // maxHead bounds the request line and the header block.
--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -8,8 +8,8 @@
 	"sync"
 	"time"
 
-	"shelfstile/internal/core"
-	"shelfstile/internal/front"
+	"whinrudder/internal/core"
+	"whinrudder/internal/front"
 )
 
 // partFor is how long a message may take from its first byte to its last, in milliseconds.
--- a/internal/node/link.go
+++ b/internal/node/link.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
-	"shelfstile/internal/core"
-	"shelfstile/internal/pool"
+	"whinrudder/internal/core"
+	"whinrudder/internal/pool"
 )
 
 // Times of the link to the worker pool, in milliseconds.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,12 +14,12 @@
 	"sync/atomic"
 	"time"
 
-	"shelfstile/internal/announce"
-	"shelfstile/internal/core"
-	"shelfstile/internal/front"
-	"shelfstile/internal/httpfront"
-	"shelfstile/internal/pool"
-	"shelfstile/internal/settings"
+	"whinrudder/internal/announce"
+	"whinrudder/internal/core"
+	"whinrudder/internal/front"
+	"whinrudder/internal/httpfront"
+	"whinrudder/internal/pool"
+	"whinrudder/internal/settings"
 )
 
 // now is the system's Unix clock in milliseconds.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -11,8 +11,8 @@
 
 	"github.com/valyala/fastjson"
 
-	"shelfstile"
-	"shelfstile/internal/core"
+	"whinrudder"
+	"whinrudder/internal/core"
 )
 
 // maxLine bounds a notice: a result of 4 KiB in base64 and the fields around it fit four times over.
@@ -186,8 +186,8 @@
 }
 
 // stats puts the gauges in their places; those that are not told are taken as not measured.
-func (l *Link) stats(values []*fastjson.Value) shelfstile.Gauges {
-	g := shelfstile.Gauges{CPU: -1}
+func (l *Link) stats(values []*fastjson.Value) whinrudder.Gauges {
+	g := whinrudder.Gauges{CPU: -1}
 	for i, name := range l.gauges {
 		if i >= len(values) {
 			break
--- a/internal/settings/config.go
+++ b/internal/settings/config.go
@@ -8,7 +8,7 @@
 
 	"github.com/valyala/fastjson"
 
-	"shelfstile"
+	"whinrudder"
 )
 
 // Config is what a payout node is told at its start.
@@ -85,11 +85,11 @@
 			fault("profiles[%d].name is %q, want a name of its own", i, n)
 		}
 		seen[s.Classes[i]] = true
-		if c.Repeat == shelfstile.Keyed {
+		if c.Repeat == whinrudder.Keyed {
 			fault("profiles[%d].repeat is by_key, which the protocols don't carry", i)
 		}
 	}
-	if s.Policy.Below != shelfstile.BelowNone {
+	if s.Policy.Below != whinrudder.BelowNone {
 		fault("below is %q, and the protocols carry no calls", s.Policy.Below)
 	}
 	return errors.Join(errs...)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,12 +8,12 @@
 
 	"github.com/valyala/fastjson"
 
-	"shelfstile"
+	"whinrudder"
 )
 
 // Settings is what the object holds: the module's own settings, and the names that are used on the wires.
 type Settings struct {
-	Policy  shelfstile.Settings
+	Policy  whinrudder.Settings
 	Classes []string // names of the classes, in the order of Policy.Classes
 	Gauges  []string // names of the gauges, in the order in which the worker pool gives them
 }
@@ -34,7 +34,7 @@
 	root := r.object("settings", v)
 	sp, ru := r.object("specifics", root.Get("specifics")), r.object("rules", root.Get("rules"))
 	goal, allowed := r.object("goal", root.Get("goal")), r.object("allowed", root.Get("allowed"))
-	s := Settings{Policy: shelfstile.Settings{
+	s := Settings{Policy: whinrudder.Settings{
 		Servers: r.count(root, "servers"), OverShareWorth: r.num(root, "over_share_worth"),
 		WorthByWork: r.text(root, "worth_by") == "work", Tick: r.num(root, "tick_ms"),
 		Callers: r.count(sp, "callers"), Cores: r.count(sp, "cores"), Cold: r.flag(sp, "cold"),
@@ -43,17 +43,17 @@
 		PassesDeadline: r.flag(sp, "passes_deadline"), CallShare: r.num(sp, "calls_out"),
 		CallShareWindow: r.num(sp, "share_span_ms"), CallLinger: r.num(sp, "linger_ms"),
 		Fresh: r.num(sp, "fresh_ms"), DeepChecks: r.flag(sp, "deep_checks"), KeepAlive: r.num(sp, "keepalive_max_ms"),
-		Rules: shelfstile.Rules{AnswerGrace: r.num(ru, "grace_to_answer_ms"), ColdFrom: r.num(ru, "cold_from"),
+		Rules: whinrudder.Rules{AnswerGrace: r.num(ru, "grace_to_answer_ms"), ColdFrom: r.num(ru, "cold_from"),
 			RampTime: r.num(ru, "ramp_time_ms"), DrainGrace: r.num(ru, "drain_grace_ms"),
 			FallMultiple: r.num(ru, "fall_multiple"), FallWindow: r.num(ru, "overload_for_ms")},
-		Goal: shelfstile.Goal{Whole: r.num(goal, "whole"), WorstClass: r.num(goal, "worst_class"),
+		Goal: whinrudder.Goal{Whole: r.num(goal, "whole"), WorstClass: r.num(goal, "worst_class"),
 			WorstTenant: r.num(goal, "worst_tenant"), WorstWindow: r.num(goal, "worst_window")},
-		Halt: named(&r, sp, "halt", map[string]shelfstile.Halt{"": shelfstile.HaltNone, "silent": shelfstile.HaltNone,
-			"abort": shelfstile.HaltAbort, "suspend": shelfstile.HaltPause}),
-		Say: named(&r, sp, "say", map[string]shelfstile.Say{"": shelfstile.SayNothing, "silent": shelfstile.SayNothing,
-			"window": shelfstile.SayWindow, "threshold": shelfstile.SayThreshold, "share_of": shelfstile.SayShare}),
-		Below: named(&r, sp, "below", map[string]shelfstile.Below{"": shelfstile.BelowNone,
-			"silent": shelfstile.BelowNone, "shared": shelfstile.BelowShared, "tier": shelfstile.BelowTier}),
+		Halt: named(&r, sp, "halt", map[string]whinrudder.Halt{"": whinrudder.HaltNone, "silent": whinrudder.HaltNone,
+			"abort": whinrudder.HaltAbort, "suspend": whinrudder.HaltPause}),
+		Say: named(&r, sp, "say", map[string]whinrudder.Say{"": whinrudder.SayNothing, "silent": whinrudder.SayNothing,
+			"window": whinrudder.SayWindow, "threshold": whinrudder.SayThreshold, "share_of": whinrudder.SayShare}),
+		Below: named(&r, sp, "below", map[string]whinrudder.Below{"": whinrudder.BelowNone,
+			"silent": whinrudder.BelowNone, "shared": whinrudder.BelowShared, "tier": whinrudder.BelowTier}),
 	}}
 	if r.flag(allowed, "retry_after") {
 		s.Policy.MaxRetryAfter = r.num(allowed, "max_retry_after_ms")
@@ -61,11 +61,11 @@
 	calls, skips := r.list(sp, "class_calls"), r.list(sp, "class_skip_worth")
 	for i, e := range r.list(root, "profiles") {
 		o := r.object(fmt.Sprintf("profiles[%d]", i), e)
-		c := shelfstile.Class{Aim: r.num(o, "aim_ms"), AimStretch: r.num(o, "aim_stretch"),
+		c := whinrudder.Class{Aim: r.num(o, "aim_ms"), AimStretch: r.num(o, "aim_stretch"),
 			Deadline: r.num(o, "deadline_ms"), Worth: r.num(o, "worth"), LateWorth: r.num(o, "late_worth"),
 			Window: r.num(o, "memory_span_ms"),
-			Repeat: named(&r, o, "repeat", map[string]shelfstile.Repeat{"repeatable": shelfstile.Safe,
-				"by_key": shelfstile.Keyed, "once": shelfstile.Unsafe})}
+			Repeat: named(&r, o, "repeat", map[string]whinrudder.Repeat{"repeatable": whinrudder.Safe,
+				"by_key": whinrudder.Keyed, "once": whinrudder.Unsafe})}
 		if i < len(calls) {
 			c.Calls = calls[i].Type() == fastjson.TypeTrue
 		}
@@ -77,7 +77,7 @@
 	}
 	for i, e := range r.list(root, "parties") {
 		o := r.object(fmt.Sprintf("parties[%d]", i), e)
-		s.Policy.Tenants = append(s.Policy.Tenants, shelfstile.Tenant{QuotaPerSecond: r.num(o, "quota_per_s")})
+		s.Policy.Tenants = append(s.Policy.Tenants, whinrudder.Tenant{QuotaPerSecond: r.num(o, "quota_per_s")})
 	}
 	for _, e := range r.list(sp, "own_stats") {
 		s.Gauges = append(s.Gauges, string(e.GetStringBytes()))
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -12,7 +12,7 @@
 	"strconv"
 	"strings"
 
-	"shelfstile"
+	"whinrudder"
 )
 
 // Item is one event of a batch with the instance it is for. Exactly one of Start, Died and Event is set.
@@ -20,13 +20,13 @@
 	Instance int
 	Start    *Start
 	Died     bool
-	Event    shelfstile.Event
+	Event    whinrudder.Event
 }
 
 // Start opens the life of an instance.
 type Start struct {
 	Seed     uint64
-	Settings shelfstile.Settings
+	Settings whinrudder.Settings
 }
 
 // Batch is all that happened at one instant.
@@ -158,12 +158,12 @@
 	return v
 }
 
-func (f *fields) id() shelfstile.RequestID {
+func (f *fields) id() whinrudder.RequestID {
 	s := f.next()
 	if !isID(s) && f.err == nil {
 		f.err = fmt.Errorf("bad request id %q", head(s))
 	}
-	return shelfstile.RequestID(s)
+	return whinrudder.RequestID(s)
 }
 
 func isID(s string) bool {
@@ -178,7 +178,7 @@
 	return true
 }
 
-func (f *fields) code() shelfstile.Code {
+func (f *fields) code() whinrudder.Code {
 	s := f.next()
 	c, ok := codes[s]
 	if !ok && f.err == nil {
@@ -194,10 +194,10 @@
 	return f.err
 }
 
-var codes = map[string]shelfstile.Code{
-	"GOOD": shelfstile.OK, "BAD": shelfstile.Error, "FULL": shelfstile.Rejected, "LATE": shelfstile.Timeout,
-	"NOCONN": shelfstile.ConnectFailed, "RST": shelfstile.Reset, "CXL": shelfstile.Cancelled,
-	"NOP": shelfstile.Moot,
+var codes = map[string]whinrudder.Code{
+	"GOOD": whinrudder.OK, "BAD": whinrudder.Error, "FULL": whinrudder.Rejected, "LATE": whinrudder.Timeout,
+	"NOCONN": whinrudder.ConnectFailed, "RST": whinrudder.Reset, "CXL": whinrudder.Cancelled,
+	"NOP": whinrudder.Moot,
 }
 
 func (it *Item) parse(word, rest string) error {
@@ -217,14 +217,14 @@
 	case "STOP":
 		it.Died = true
 	case "ACCEPT":
-		a := shelfstile.Arrival{ID: f.id(), Due: f.num(), Caller: f.count(), Unread: f.num()}
+		a := whinrudder.Arrival{ID: f.id(), Due: f.num(), Caller: f.count(), Unread: f.num()}
 		bits := f.count()
 		a.HintOK, a.Retry, a.Write = bits&1 != 0, bits&2 != 0, bits&4 != 0
 		if s := f.next(); s != "-" && s != "0" {
 			if !isID(s) {
 				return fmt.Errorf("bad request id %q", head(s))
 			}
-			a.RepeatOf = shelfstile.RequestID(s)
+			a.RepeatOf = whinrudder.RequestID(s)
 		}
 		if a.Key = f.next(); a.Key == "-" {
 			a.Key = ""
@@ -232,21 +232,21 @@
 		a.KB, a.Work, a.Rank, a.Tenant, a.Class = f.num(), f.num(), f.num(), f.count(), f.count()
 		it.Event = a
 	case "RESULT":
-		it.Event = shelfstile.Ended{ID: f.id(), Code: f.code(), Latency: f.num()}
+		it.Event = whinrudder.Ended{ID: f.id(), Code: f.code(), Latency: f.num()}
 	case "WITHDRAWN":
-		it.Event = shelfstile.Gone{ID: f.id()}
+		it.Event = whinrudder.Gone{ID: f.id()}
 	case "AT_CALL":
-		it.Event = shelfstile.AtCall{ID: f.id()}
+		it.Event = whinrudder.AtCall{ID: f.id()}
 	case "CAME_BACK":
-		it.Event = shelfstile.Called{ID: f.id(), Code: f.code(), Latency: f.num()}
+		it.Event = whinrudder.Called{ID: f.id(), Code: f.code(), Latency: f.num()}
 	case "NOTICE":
-		it.Event = shelfstile.Notice{StopAt: f.num()}
+		it.Event = whinrudder.Notice{StopAt: f.num()}
 	case "TIMEOUT_FIRED":
 		tok, err := strconv.ParseUint(f.next(), 10, 64)
 		if err != nil {
 			return errors.New("bad token")
 		}
-		t := shelfstile.Timer{Token: tok, Gauges: shelfstile.Gauges{CPU: -1}}
+		t := whinrudder.Timer{Token: tok, Gauges: whinrudder.Gauges{CPU: -1}}
 		if s := f.next(); s != "-" && s != "" {
 			for pair := range strings.SplitSeq(s, ",") {
 				name, val, ok := strings.Cut(pair, ":")
@@ -344,43 +344,43 @@
 	return v, nil
 }
 
-func parseSettings(text string) (shelfstile.Settings, error) {
+func parseSettings(text string) (whinrudder.Settings, error) {
 	var in info
 	if err := json.Unmarshal([]byte(text), &in); err != nil {
-		return shelfstile.Settings{}, fmt.Errorf("settings: %w", err)
+		return whinrudder.Settings{}, fmt.Errorf("settings: %w", err)
 	}
 	sp, ru := in.Specifics, in.Rules
-	s := shelfstile.Settings{
+	s := whinrudder.Settings{
 		Servers: in.Servers, Callers: sp.Callers, Cores: sp.Cores, Cold: sp.Cold, Memory: sp.RAMKB,
 		RunFactor: sp.RunFactor, EntryKB: sp.EntryKB, OverShareWorth: in.OverShareWorth,
 		WorthByWork: in.WorthBy == "work", HeardFor: sp.HeardForMs, TellsGone: sp.TellsGone,
 		PassesDeadline: sp.PassesDeadline, CallShare: sp.CallsOut, CallShareWindow: sp.ShareSpanMs,
 		CallLinger: sp.LingerMs, Fresh: sp.FreshMs, DeepChecks: sp.DeepChecks, KeepAlive: sp.KeepaliveMaxMs,
 		Tick: in.TickMs,
-		Rules: shelfstile.Rules{AnswerGrace: ru.GraceToAnswerMs, ColdFrom: ru.ColdFrom, RampTime: ru.RampTimeMs,
+		Rules: whinrudder.Rules{AnswerGrace: ru.GraceToAnswerMs, ColdFrom: ru.ColdFrom, RampTime: ru.RampTimeMs,
 			DrainGrace: ru.DrainGraceMs, FallMultiple: ru.FallMultiple, FallWindow: ru.OverloadForMs},
-		Goal: shelfstile.Goal(in.Goal),
+		Goal: whinrudder.Goal(in.Goal),
 	}
 	if in.Allowed.RetryAfter {
 		s.MaxRetryAfter = in.Allowed.MaxRetryAfterMs
 	}
 	var errs [3]error
-	s.Halt, errs[0] = named("halt", sp.Halt, map[string]shelfstile.Halt{"": shelfstile.HaltNone,
-		"silent": shelfstile.HaltNone, "abort": shelfstile.HaltAbort, "suspend": shelfstile.HaltPause})
-	s.Say, errs[1] = named("say", sp.Say, map[string]shelfstile.Say{"": shelfstile.SayNothing,
-		"silent": shelfstile.SayNothing, "window": shelfstile.SayWindow, "threshold": shelfstile.SayThreshold,
-		"share_of": shelfstile.SayShare})
-	s.Below, errs[2] = named("below", sp.Below, map[string]shelfstile.Below{"": shelfstile.BelowNone,
-		"silent": shelfstile.BelowNone, "shared": shelfstile.BelowShared, "tier": shelfstile.BelowTier})
+	s.Halt, errs[0] = named("halt", sp.Halt, map[string]whinrudder.Halt{"": whinrudder.HaltNone,
+		"silent": whinrudder.HaltNone, "abort": whinrudder.HaltAbort, "suspend": whinrudder.HaltPause})
+	s.Say, errs[1] = named("say", sp.Say, map[string]whinrudder.Say{"": whinrudder.SayNothing,
+		"silent": whinrudder.SayNothing, "window": whinrudder.SayWindow, "threshold": whinrudder.SayThreshold,
+		"share_of": whinrudder.SayShare})
+	s.Below, errs[2] = named("below", sp.Below, map[string]whinrudder.Below{"": whinrudder.BelowNone,
+		"silent": whinrudder.BelowNone, "shared": whinrudder.BelowShared, "tier": whinrudder.BelowTier})
 	if err := errors.Join(errs[:]...); err != nil {
 		return s, err
 	}
 	for i, p := range in.Profiles {
-		c := shelfstile.Class{Aim: p.AimMs, AimStretch: p.AimStretch, Deadline: p.DeadlineMs, Worth: p.Worth,
+		c := whinrudder.Class{Aim: p.AimMs, AimStretch: p.AimStretch, Deadline: p.DeadlineMs, Worth: p.Worth,
 			LateWorth: p.LateWorth, Window: p.MemorySpanMs}
 		var err error
-		c.Repeat, err = named("repeat", p.Repeat, map[string]shelfstile.Repeat{"repeatable": shelfstile.Safe,
-			"by_key": shelfstile.Keyed, "once": shelfstile.Unsafe})
+		c.Repeat, err = named("repeat", p.Repeat, map[string]whinrudder.Repeat{"repeatable": whinrudder.Safe,
+			"by_key": whinrudder.Keyed, "once": whinrudder.Unsafe})
 		if err != nil {
 			return s, err
 		}
@@ -393,7 +393,7 @@
 		s.Classes = append(s.Classes, c)
 	}
 	for _, p := range in.Parties {
-		s.Tenants = append(s.Tenants, shelfstile.Tenant{QuotaPerSecond: p.QuotaPerS})
+		s.Tenants = append(s.Tenants, whinrudder.Tenant{QuotaPerSecond: p.QuotaPerS})
 	}
 	return s, nil
 }
@@ -402,51 +402,51 @@
 type Reply struct{ buf []byte }
 
 // From appends the actions of one instance.
-func (r *Reply) From(instance int, actions []shelfstile.Action) {
+func (r *Reply) From(instance int, actions []whinrudder.Action) {
 	if len(actions) == 0 {
 		return
 	}
 	r.open(instance)
 	for _, a := range actions {
 		switch a := a.(type) {
-		case shelfstile.Run:
+		case whinrudder.Run:
 			r.id("LAUNCH ", a.ID)
-		case shelfstile.Stop:
+		case whinrudder.Stop:
 			r.id("ABORT_WORK ", a.ID)
-		case shelfstile.Refuse:
+		case whinrudder.Refuse:
 			r.id("REFUSE ", a.ID)
 			r.num(a.RetryAfter)
 			r.bit(a.NotElsewhere)
-		case shelfstile.Fail:
+		case whinrudder.Fail:
 			r.id("END_FAILED ", a.ID)
-		case shelfstile.Call:
+		case whinrudder.Call:
 			r.id("DIAL ", a.ID)
 			r.num(a.Timeout)
-		case shelfstile.Skip:
+		case whinrudder.Skip:
 			r.id("BYPASS ", a.ID)
-		case shelfstile.Keep:
+		case whinrudder.Keep:
 			r.id("MEMO ", a.ID)
 			r.num(a.For)
-		case shelfstile.Forget:
+		case whinrudder.Forget:
 			r.id("DROP_KEY ", a.ID)
-		case shelfstile.Reuse:
+		case whinrudder.Reuse:
 			r.id("SHARE ", a.ID)
-		case shelfstile.Health:
+		case whinrudder.Health:
 			r.buf = append(r.buf, "STATUS"...)
 			r.bit(a.Stored)
 			r.bit(a.Good)
-		case shelfstile.Advertise:
+		case whinrudder.Advertise:
 			r.buf = append(r.buf, "ADVERTISE"...)
 			r.num(a.Value)
-		case shelfstile.CloseIdle:
+		case whinrudder.CloseIdle:
 			r.buf = append(r.buf, "TRIM_AFTER"...)
 			r.num(a.After)
-		case shelfstile.Wake:
+		case whinrudder.Wake:
 			r.buf = append(r.buf, "SLEEP"...)
 			r.num(a.At)
 			r.buf = append(r.buf, ' ')
 			r.buf = strconv.AppendUint(r.buf, a.Token, 10)
-		case shelfstile.Log:
+		case whinrudder.Log:
 			r.buf = append(r.buf, "RECORD "...)
 			r.buf = append(r.buf, oneLine(a.Text)...)
 		default:
@@ -478,7 +478,7 @@
 	r.buf = append(r.buf, '\n')
 }
 
-func (r *Reply) id(word string, id shelfstile.RequestID) {
+func (r *Reply) id(word string, id whinrudder.RequestID) {
 	r.buf = append(r.buf, word...)
 	r.buf = append(r.buf, id...)
 }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -8,7 +8,7 @@
 	"strings"
 	"testing"
 
-	"shelfstile"
+	"whinrudder"
 )
 
 const start = `PROVISION 42 {"new_key":[1],"specifics":{"cores":6,"halt":"suspend","say":"window","below":"shared",` +
@@ -33,19 +33,19 @@
 		t.Fatal(err)
 	}
 	s := b.Items[0].Start.Settings
-	if b.Items[0].Start.Seed != 42 || s.Cores != 6 || s.Halt != shelfstile.HaltPause || !s.WorthByWork ||
+	if b.Items[0].Start.Seed != 42 || s.Cores != 6 || s.Halt != whinrudder.HaltPause || !s.WorthByWork ||
 		s.MaxRetryAfter != 7 || !s.Classes[0].Calls || s.Classes[0].Window != 9 {
 		t.Errorf("settings: %+v", s)
 	}
-	const a, g = shelfstile.RequestID("774f54295d3a91c4"), shelfstile.RequestID("2ecc51910e6f2b19")
-	want := []shelfstile.Event{
-		shelfstile.Arrival{ID: a, Due: 8652.25, Caller: 17, Unread: 1.85, HintOK: true, Write: true, RepeatOf: g,
+	const a, g = whinrudder.RequestID("774f54295d3a91c4"), whinrudder.RequestID("2ecc51910e6f2b19")
+	want := []whinrudder.Event{
+		whinrudder.Arrival{ID: a, Due: 8652.25, Caller: 17, Unread: 1.85, HintOK: true, Write: true, RepeatOf: g,
 			Key: "acct/k", KB: 24.5, Work: 12, Rank: 0.625, Tenant: 1, Class: 2},
-		shelfstile.Arrival{ID: "774f54295d3a91c5", Caller: 17, Unread: 1.85, KB: 24.5},
-		shelfstile.Timer{Token: 77, Gauges: shelfstile.Gauges{CPU: 0.62, Runnable: 3, Conns: 120}},
-		shelfstile.Ended{ID: a, Code: shelfstile.OK, Latency: 18.5},
-		shelfstile.Called{ID: a, Code: shelfstile.Timeout, Latency: 80},
-		shelfstile.AtCall{ID: a}, shelfstile.Notice{StopAt: 11912.25}, shelfstile.Gone{ID: g},
+		whinrudder.Arrival{ID: "774f54295d3a91c5", Caller: 17, Unread: 1.85, KB: 24.5},
+		whinrudder.Timer{Token: 77, Gauges: whinrudder.Gauges{CPU: 0.62, Runnable: 3, Conns: 120}},
+		whinrudder.Ended{ID: a, Code: whinrudder.OK, Latency: 18.5},
+		whinrudder.Called{ID: a, Code: whinrudder.Timeout, Latency: 80},
+		whinrudder.AtCall{ID: a}, whinrudder.Notice{StopAt: 11912.25}, whinrudder.Gone{ID: g},
 	}
 	for i, w := range want {
 		if it := b.Items[i+1]; !reflect.DeepEqual(it.Event, w) {
@@ -85,12 +85,12 @@
 
 func TestReplyTranscript(t *testing.T) {
 	var r Reply
-	r.From(3, []shelfstile.Action{shelfstile.Run{ID: "a"}, shelfstile.Stop{ID: "a"},
-		shelfstile.Refuse{ID: "a", RetryAfter: 250, NotElsewhere: true}, shelfstile.Fail{ID: "a"},
-		shelfstile.Call{ID: "a", Timeout: 80}, shelfstile.Skip{ID: "a"}, shelfstile.Keep{ID: "a", For: 8000.0004},
-		shelfstile.Forget{ID: "a"}, shelfstile.Reuse{ID: "a"}, shelfstile.Health{Stored: true},
-		shelfstile.Advertise{Value: 0.25}, shelfstile.CloseIdle{After: 2000}, shelfstile.Wake{At: 8912.25, Token: 77},
-		shelfstile.Log{Text: "two\nlines"}})
+	r.From(3, []whinrudder.Action{whinrudder.Run{ID: "a"}, whinrudder.Stop{ID: "a"},
+		whinrudder.Refuse{ID: "a", RetryAfter: 250, NotElsewhere: true}, whinrudder.Fail{ID: "a"},
+		whinrudder.Call{ID: "a", Timeout: 80}, whinrudder.Skip{ID: "a"}, whinrudder.Keep{ID: "a", For: 8000.0004},
+		whinrudder.Forget{ID: "a"}, whinrudder.Reuse{ID: "a"}, whinrudder.Health{Stored: true},
+		whinrudder.Advertise{Value: 0.25}, whinrudder.CloseIdle{After: 2000}, whinrudder.Wake{At: 8912.25, Token: 77},
+		whinrudder.Log{Text: "two\nlines"}})
 	r.From(4, nil)
 	r.Fault(5, "index out of range")
 	var out bytes.Buffer
--- a/policy.go
+++ b/policy.go
@@ -1,9 +1,9 @@
-// The decision module of shelfstile. Its interface (settings, events, actions) is in api.go.
+// The decision module of whinrudder. Its interface (settings, events, actions) is in api.go.
 //
 // One mechanism: each server learns a limit on running requests from its own latency against a base, refuses
 // arrivals that it cannot answer in time at once, and tells callers a credit derived from the limit.
 
-package shelfstile
+package whinrudder
 
 import (
 	"cmp"
--- a/policy_test.go
+++ b/policy_test.go
@@ -1,4 +1,4 @@
-package shelfstile
+package whinrudder
 
 import (
 	"fmt"
