--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -4,7 +4,6 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -13,6 +12,7 @@
 	"strings"
 
 	"whinrudder"
+	"whinrudder/internal/settings"
 )
 
 // Item is one event of a batch with the instance it is for. Exactly one of Start, Died and Event is set.
@@ -208,11 +208,11 @@
 		if err != nil {
 			return errors.New("bad salt")
 		}
-		s, err := parseSettings(f.rest)
+		s, err := settings.Parse([]byte(f.rest))
 		if err != nil {
 			return err
 		}
-		it.Start = &Start{Seed: seed, Settings: s}
+		it.Start = &Start{Seed: seed, Settings: s.Policy}
 		return nil
 	case "STOP":
 		it.Died = true
@@ -276,128 +276,6 @@
 	return f.end()
 }
 
-// info mirrors the settings object; unknown keys are skipped.
-type info struct {
-	Allowed struct {
-		MaxRetryAfterMs float64 `json:"max_retry_after_ms"`
-		RetryAfter      bool    `json:"retry_after"`
-	} `json:"allowed"`
-	Goal struct {
-		Whole       float64 `json:"whole"`
-		WorstClass  float64 `json:"worst_class"`
-		WorstTenant float64 `json:"worst_tenant"`
-		WorstWindow float64 `json:"worst_window"`
-	} `json:"goal"`
-	OverShareWorth float64 `json:"over_share_worth"`
-	Parties        []struct {
-		QuotaPerS float64 `json:"quota_per_s"`
-	} `json:"parties"`
-	Profiles []struct {
-		AimMs        float64 `json:"aim_ms"`
-		AimStretch   float64 `json:"aim_stretch"`
-		DeadlineMs   float64 `json:"deadline_ms"`
-		LateWorth    float64 `json:"late_worth"`
-		MemorySpanMs float64 `json:"memory_span_ms"`
-		Repeat       string  `json:"repeat"`
-		Worth        float64 `json:"worth"`
-	} `json:"profiles"`
-	Rules struct {
-		ColdFrom        float64 `json:"cold_from"`
-		DrainGraceMs    float64 `json:"drain_grace_ms"`
-		FallMultiple    float64 `json:"fall_multiple"`
-		GraceToAnswerMs float64 `json:"grace_to_answer_ms"`
-		OverloadForMs   float64 `json:"overload_for_ms"`
-		RampTimeMs      float64 `json:"ramp_time_ms"`
-	} `json:"rules"`
-	Servers   int `json:"servers"`
-	Specifics struct {
-		Below          string    `json:"below"`
-		Callers        int       `json:"callers"`
-		CallsOut       float64   `json:"calls_out"`
-		ClassCalls     []bool    `json:"class_calls"`
-		ClassSkipWorth []float64 `json:"class_skip_worth"`
-		Cold           bool      `json:"cold"`
-		Cores          int       `json:"cores"`
-		DeepChecks     bool      `json:"deep_checks"`
-		EntryKB        float64   `json:"entry_kb"`
-		FreshMs        float64   `json:"fresh_ms"`
-		Halt           string    `json:"halt"`
-		HeardForMs     float64   `json:"heard_for_ms"`
-		KeepaliveMaxMs float64   `json:"keepalive_max_ms"`
-		LingerMs       float64   `json:"linger_ms"`
-		PassesDeadline bool      `json:"passes_deadline"`
-		RAMKB          float64   `json:"ram_kb"`
-		RunFactor      float64   `json:"run_factor"`
-		Say            string    `json:"say"`
-		ShareSpanMs    float64   `json:"share_span_ms"`
-		TellsGone      bool      `json:"tells_gone"`
-	} `json:"specifics"`
-	TickMs  float64 `json:"tick_ms"`
-	WorthBy string  `json:"worth_by"`
-}
-
-func named[T any](what, s string, names map[string]T) (T, error) {
-	v, ok := names[s]
-	if !ok {
-		return v, fmt.Errorf("settings: unknown %s %q", what, head(s))
-	}
-	return v, nil
-}
-
-func parseSettings(text string) (whinrudder.Settings, error) {
-	var in info
-	if err := json.Unmarshal([]byte(text), &in); err != nil {
-		return whinrudder.Settings{}, fmt.Errorf("settings: %w", err)
-	}
-	sp, ru := in.Specifics, in.Rules
-	s := whinrudder.Settings{
-		Servers: in.Servers, Callers: sp.Callers, Cores: sp.Cores, Cold: sp.Cold, Memory: sp.RAMKB,
-		RunFactor: sp.RunFactor, EntryKB: sp.EntryKB, OverShareWorth: in.OverShareWorth,
-		WorthByWork: in.WorthBy == "work", HeardFor: sp.HeardForMs, TellsGone: sp.TellsGone,
-		PassesDeadline: sp.PassesDeadline, CallShare: sp.CallsOut, CallShareWindow: sp.ShareSpanMs,
-		CallLinger: sp.LingerMs, Fresh: sp.FreshMs, DeepChecks: sp.DeepChecks, KeepAlive: sp.KeepaliveMaxMs,
-		Tick: in.TickMs,
-		Rules: whinrudder.Rules{AnswerGrace: ru.GraceToAnswerMs, ColdFrom: ru.ColdFrom, RampTime: ru.RampTimeMs,
-			DrainGrace: ru.DrainGraceMs, FallMultiple: ru.FallMultiple, FallWindow: ru.OverloadForMs},
-		Goal: whinrudder.Goal(in.Goal),
-	}
-	if in.Allowed.RetryAfter {
-		s.MaxRetryAfter = in.Allowed.MaxRetryAfterMs
-	}
-	var errs [3]error
-	s.Halt, errs[0] = named("halt", sp.Halt, map[string]whinrudder.Halt{"": whinrudder.HaltNone,
-		"silent": whinrudder.HaltNone, "abort": whinrudder.HaltAbort, "suspend": whinrudder.HaltPause})
-	s.Say, errs[1] = named("say", sp.Say, map[string]whinrudder.Say{"": whinrudder.SayNothing,
-		"silent": whinrudder.SayNothing, "window": whinrudder.SayWindow, "threshold": whinrudder.SayThreshold,
-		"share_of": whinrudder.SayShare})
-	s.Below, errs[2] = named("below", sp.Below, map[string]whinrudder.Below{"": whinrudder.BelowNone,
-		"silent": whinrudder.BelowNone, "shared": whinrudder.BelowShared, "tier": whinrudder.BelowTier})
-	if err := errors.Join(errs[:]...); err != nil {
-		return s, err
-	}
-	for i, p := range in.Profiles {
-		c := whinrudder.Class{Aim: p.AimMs, AimStretch: p.AimStretch, Deadline: p.DeadlineMs, Worth: p.Worth,
-			LateWorth: p.LateWorth, Window: p.MemorySpanMs}
-		var err error
-		c.Repeat, err = named("repeat", p.Repeat, map[string]whinrudder.Repeat{"repeatable": whinrudder.Safe,
-			"by_key": whinrudder.Keyed, "once": whinrudder.Unsafe})
-		if err != nil {
-			return s, err
-		}
-		if i < len(sp.ClassCalls) {
-			c.Calls = sp.ClassCalls[i]
-		}
-		if i < len(sp.ClassSkipWorth) {
-			c.SkipWorth = sp.ClassSkipWorth[i]
-		}
-		s.Classes = append(s.Classes, c)
-	}
-	for _, p := range in.Parties {
-		s.Tenants = append(s.Tenants, whinrudder.Tenant{QuotaPerSecond: p.QuotaPerS})
-	}
-	return s, nil
-}
-
 // Reply collects the lines of one answer.
 type Reply struct{ buf []byte }
 
