--- a/internal/rehearse/caller.go
+++ b/internal/rehearse/caller.go
@@ -125,6 +125,9 @@
 	if _, err := io.ReadFull(c.r, body); err != nil {
 		return fmt.Sprintf("%q ended within the body", raw)
 	}
+	if f["Connection"] == "close" {
+		defer c.c.Close() // as callers do once all is answered
+	}
 	if word == "recv" {
 		return strconv.Quote(load.ReplaceAllString(raw, "Srv-Load: N") + string(body))
 	}
