Advise on refusals of a full server when to come back

Seen: only a leaving or sick server said Srv-Wait-Ms; a full one said nothing, though what is given up is answered at once and callers heed advice. Faulty lines: Policy.refuse, RetryAfter set under leaving || sick alone. Ruled out, then: no advice where the fleet as a whole is overloaded.

--- a/internal/rehearse/caller.go
+++ b/internal/rehearse/caller.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"io"
 	"net"
+	"reflect"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -18,6 +20,32 @@
 	r        *bufio.Reader
 	protocol string
 	sent     time.Time // Req-Time of its last request
+	heard    chan string
+	over     bool // was told that the connection ends
+}
+
+// ask starts to read an answer, unless that is under way.
+func (c *caller) ask(word, want string) chan string {
+	if c.heard == nil {
+		ch := make(chan string, 1)
+		c.heard = ch
+		go func() { ch <- c.hear(word, want) }()
+	}
+	return c.heard
+}
+
+// first waits for the first answer that one of some callers reads.
+func first(callers []*caller, word, want string) string {
+	var cases []reflect.SelectCase
+	if len(callers) > 1 {
+		callers = slices.DeleteFunc(callers, func(c *caller) bool { return c.over })
+	}
+	for _, c := range callers {
+		cases = append(cases, reflect.SelectCase{Dir: reflect.SelectRecv, Chan: reflect.ValueOf(c.ask(word, want))})
+	}
+	i, v, _ := reflect.Select(cases)
+	callers[i].heard = nil
+	return v.String()
 }
 
 func dial(addr, protocol string) (*caller, error) {
@@ -126,6 +154,7 @@
 		return fmt.Sprintf("%q ended within the body", raw)
 	}
 	if f["Connection"] == "close" {
+		c.over = true
 		defer c.c.Close() // as callers do once all is answered
 	}
 	if word == "recv" {
--- a/policy.go
+++ b/policy.go
@@ -620,11 +620,20 @@
 }
 
 // refuse turns away a request of the hold. Nothing there ever ran: what was started does not come back to it.
-// Only a server that leaves or is sick advises to stay away: clients are told, and come back late.
+// The advice is when to come back: a server that leaves or is sick wants nothing for as long as is heeded, one
+// that is full says how long its line lasts, the one turned away included. Where the fleet as a whole is overloaded, a
+// server that sends callers away only makes the others fuller: there it asks not to be passed over.
 func (p *Policy) refuse(r *request) {
 	a := Refuse{ID: r.ID, NotElsewhere: p.press > 1 && p.busy >= busyShare && !p.leaving}
-	if p.leaving || p.sick {
+	switch {
+	case p.leaving || p.sick:
 		a.RetryAfter = p.s.MaxRetryAfter
+	case !a.NotElsewhere:
+		line := 0.0
+		for _, o := range p.hold {
+			line += o.cost
+		}
+		a.RetryAfter = min(line/p.pace, p.s.MaxRetryAfter)
 	}
 	p.answer(r, a)
 }
