--- a/policy.go
+++ b/policy.go
@@ -620,9 +620,9 @@
 }
 
 // refuse turns away a request of the hold. Nothing there ever ran: what was started does not come back to it.
-// The advice is when to come back: a server that leaves or is sick wants nothing for as long as is heeded, one
-// that is full says how long its line lasts, the one turned away included. Where the fleet as a whole is overloaded, a
-// server that sends callers away only makes the others fuller: there it asks not to be passed over.
+// The advice is when to come back: a server that leaves or is sick wants nothing for as long as is heeded,
+// one that is full says how long its line lasts, the one turned away included. Where the fleet as a whole is
+// overloaded, a server that sends callers away only makes the others fuller: it asks not to be passed over.
 func (p *Policy) refuse(r *request) {
 	a := Refuse{ID: r.ID, NotElsewhere: p.press > 1 && p.busy >= busyShare && !p.leaving}
 	switch {
