Register in ZooKeeper where the operator says so; ship the rehearsal kit

internal/zk keeps an ephemeral znode beside the service: made once the worker pool is up, taken over from an earlier life, made again after expiry, removal or failure, removed on drain. The stand-in ensemble speaks the published format and is ours. whinrudder rehearse plays the shipped or named exchanges over http and uwsgi with the tests' player, prints what differed and exits 1 on any.

--- a/cmd/whinrudder/main.go
+++ b/cmd/whinrudder/main.go
@@ -13,6 +13,7 @@
 	"github.com/urfave/cli/v3"
 
 	"whinrudder/internal/node"
+	"whinrudder/internal/rehearse"
 	"whinrudder/internal/settings"
 )
 
@@ -38,6 +39,12 @@
 					fmt.Println("config ok")
 					return nil
 				}},
+			{Name: "rehearse", Usage: "play exchange files against a node between stand-ins; without files, those shipped",
+				ArgsUsage: "[FILE ...]", Flags: []cli.Flag{&cli.StringFlag{Name: "protocol", Value: "both",
+					Usage: "http, uwsgi or both, for the files named"}},
+				Action: func(_ context.Context, c *cli.Command) error {
+					return rehearse.Command(os.Stdout, c.String("protocol"), c.Args().Slice())
+				}},
 			{Name: "version", Usage: "print the version", Action: func(context.Context, *cli.Command) error {
 				fmt.Println("whinrudder", version)
 				return nil
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -145,6 +145,8 @@
 	Verify struct{ Tag string }
 	// Idle sets how long connections may be idle.
 	Idle struct{ After float64 }
+	// Ready tells that the worker pool is up and the module serves.
+	Ready struct{ Cold bool }
 	// Leaving tells that the node drains.
 	Leaving struct{}
 	// Deaf tells that no new connection is wanted: the end is near.
@@ -161,6 +163,7 @@
 func (Poll) output()    {}
 func (Verify) output()  {}
 func (Idle) output()    {}
+func (Ready) output()   {}
 func (Leaving) output() {}
 func (Deaf) output()    {}
 func (Over) output()    {}
@@ -391,6 +394,7 @@
 	}
 	c.policy = p
 	c.act(p.Step(c.now-b.Age, nil, c.actions[:0]))
+	c.do(Ready{b.Cold})
 	if c.leaving {
 		c.event(whinrudder.Notice{StopAt: c.stopAt})
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"whinrudder/internal/pool"
 	"whinrudder/internal/settings"
 	"whinrudder/internal/uwsgi"
+	"whinrudder/internal/zk"
 )
 
 // now is the system's Unix clock in milliseconds.
@@ -52,6 +53,7 @@
 	core *core.Core
 	link *link
 
+	znode     *zk.Registration // nil unless the operator names an ensemble
 	listeners []net.Listener
 	conns     connTable
 	idle      atomic.Int64 // milliseconds that a connection may be idle
@@ -205,9 +207,18 @@
 	case core.Idle:
 		n.idle.Store(int64(o.After))
 		n.conns.wakeAll()
+	case core.Ready:
+		n.logf("ready cold=%t", o.Cold)
+		if len(n.op.Ensemble) > 0 && n.taking.Load() {
+			data := fmt.Appendf(nil, `{"name":%q,"listen":%q,"uwsgi":%q}`, n.cfg.Name, n.cfg.Listen, n.op.UWSGI)
+			n.znode = zk.Register(n.op.Ensemble, n.op.SessionMs, n.op.Path, n.cfg.Name, data, n.logf)
+		}
 	case core.Leaving:
 		n.taking.Store(false)
 		n.logf("drain stop_ms=%.0f", n.cfg.StopMs)
+		if n.znode != nil {
+			n.znode.Leave(now() + n.cfg.StopMs/2)
+		}
 	case core.Deaf:
 		n.deafen()
 	case core.Line:
--- a/internal/rehearse/ensemble.go
+++ b/internal/rehearse/ensemble.go
@@ -1,13 +1,298 @@
 package rehearse
 
 import (
+	"encoding/binary"
 	"errors"
+	"fmt"
+	"io"
+	"maps"
 	"net"
+	"path"
+	"slices"
+	"sync"
+	"time"
 )
 
-type ensemble struct{ l net.Listener }
+// ensemble is a toy ZooKeeper server: one tree of znodes and the few requests that a registration needs, in the
+// published format. Sessions end only when a step says so.
+//
+//	zk has PATH       waits until the znode is there, owned by the node's present session; tells its data
+//	zk gone PATH      waits until it is not
+//	zk take PATH      a session of an earlier life owns the znode
+//	zk remove PATH    somebody removes the znode
+//	zk expire         all sessions expire
+//	zk down, zk up    connections break, and none is taken until it is up again
+type ensemble struct {
+	l       net.Listener
+	mu      sync.Mutex
+	changed chan struct{} // closed and made anew at each change
+	nodes   map[string]znode
+	live    map[int64]bool // sessions
+	conns   map[net.Conn]*zkConn
+	last    int64
+	down    bool
+}
 
-func newEnsemble() (*ensemble, error) { return nil, errors.New("no ensemble yet") }
+type znode struct {
+	owner int64
+	data  string
+}
 
-func (e *ensemble) step(line, word, text string) (string, error) { return line, nil }
-func (e *ensemble) close()                                       { e.l.Close() }
+type zkConn struct {
+	session int64
+	watches map[string]bool
+}
+
+func newEnsemble() (*ensemble, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	e := &ensemble{l: l, changed: make(chan struct{}), nodes: map[string]znode{"/": {}}, live: map[int64]bool{},
+		conns: map[net.Conn]*zkConn{}, last: 100}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go e.serve(c)
+		}
+	}()
+	return e, nil
+}
+
+func (e *ensemble) change() {
+	close(e.changed)
+	e.changed = make(chan struct{})
+}
+
+// until waits until something is so, or not for ever.
+func (e *ensemble) until(so func() bool) bool {
+	late := time.After(patience)
+	for {
+		e.mu.Lock()
+		ok, ch := so(), e.changed
+		e.mu.Unlock()
+		if ok {
+			return true
+		}
+		select {
+		case <-ch:
+		case <-late:
+			return false
+		}
+	}
+}
+
+func (e *ensemble) step(line, word, at string) (string, error) {
+	switch word {
+	case "has":
+		at, _, _ = cut(at)
+		data := ""
+		e.until(func() bool { n, ok := e.nodes[at]; data = n.data; return ok && e.live[n.owner] })
+		return fmt.Sprintf("zk has %s %s", at, data), nil
+	case "gone":
+		if !e.until(func() bool { _, ok := e.nodes[at]; return !ok }) {
+			return "zk has " + at, nil
+		}
+		return line, nil
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	defer e.change()
+	switch word {
+	case "take":
+		e.nodes[path.Dir(at)], e.nodes[at] = znode{}, znode{owner: 7}
+	case "remove":
+		delete(e.nodes, at)
+		e.tell(at)
+	case "expire":
+		clear(e.live)
+		for p, n := range e.nodes {
+			if n.owner != 0 {
+				delete(e.nodes, p)
+			}
+		}
+		e.breakAll()
+	case "down", "up":
+		e.down = word == "down"
+		e.breakAll()
+	default:
+		return "", errors.New("unknown step of the ensemble")
+	}
+	return line, nil
+}
+
+func cut(s string) (string, string, bool) {
+	for i := range s {
+		if s[i] == ' ' {
+			return s[:i], s[i+1:], true
+		}
+	}
+	return s, "", false
+}
+
+func (e *ensemble) breakAll() {
+	for c := range e.conns {
+		c.Close()
+	}
+}
+
+// tell sends the event of a removed znode to those that watch it.
+func (e *ensemble) tell(at string) {
+	for c, k := range e.conns {
+		if k.watches[at] {
+			delete(k.watches, at)
+			b := header(-1, 0)
+			b = binary.BigEndian.AppendUint32(b, 2) // NodeDeleted
+			b = binary.BigEndian.AppendUint32(b, 3) // connected
+			send(c, str(b, at))
+		}
+	}
+}
+
+func (e *ensemble) serve(c net.Conn) {
+	defer c.Close()
+	k := &zkConn{watches: map[string]bool{}}
+	e.mu.Lock()
+	down := e.down
+	if !down {
+		e.conns[c] = k
+	}
+	e.mu.Unlock()
+	defer func() {
+		e.mu.Lock()
+		delete(e.conns, c)
+		e.mu.Unlock()
+	}()
+	b, err := frame(c)
+	if down || err != nil || len(b) < 28 {
+		return
+	}
+	e.mu.Lock()
+	session, term := int64(binary.BigEndian.Uint64(b[16:])), binary.BigEndian.Uint32(b[12:])
+	switch {
+	case session == 0:
+		e.last++
+		session = e.last
+		e.live[session] = true
+	case !e.live[session]:
+		session, term = 0, 0 // expired
+	}
+	k.session = session
+	e.mu.Unlock()
+	out := binary.BigEndian.AppendUint32(make([]byte, 4), term)
+	out = binary.BigEndian.AppendUint64(out, uint64(session))
+	send(c, str(out, "0123456789abcdef"))
+	for session != 0 {
+		b, err := frame(c)
+		if err != nil || len(b) < 8 {
+			return
+		}
+		xid, op := int32(binary.BigEndian.Uint32(b)), int32(binary.BigEndian.Uint32(b[4:]))
+		e.mu.Lock()
+		out := e.request(k, xid, op, b[8:])
+		e.change()
+		e.mu.Unlock()
+		send(c, out)
+		if op == -11 {
+			return
+		}
+	}
+}
+
+// request carries out one request and returns its answer.
+func (e *ensemble) request(k *zkConn, xid, op int32, b []byte) []byte {
+	const noNode, nodeExists, unknown = -101, -110, -6
+	at, rest := text(b)
+	n, there := e.nodes[at]
+	switch op {
+	case 1: // create
+		data, rest := text(rest)
+		flags := rest[len(rest)-4:]
+		if _, ok := e.nodes[path.Dir(at)]; !ok {
+			return header(xid, noNode)
+		}
+		if there {
+			return header(xid, nodeExists)
+		}
+		if binary.BigEndian.Uint32(flags) == 1 {
+			n.owner = k.session
+		}
+		n.data = data
+		e.nodes[at] = n
+		return str(header(xid, 0), at)
+	case 2: // delete
+		if !there {
+			return header(xid, noNode)
+		}
+		delete(e.nodes, at)
+		e.tell(at)
+		return header(xid, 0)
+	case 3: // exists, with a watch or without
+		if len(rest) > 0 && rest[0] == 1 {
+			k.watches[at] = true
+		}
+		if !there {
+			return header(xid, noNode)
+		}
+		stat := make([]byte, 68)
+		binary.BigEndian.PutUint64(stat[44:], uint64(n.owner))
+		return append(header(xid, 0), stat...)
+	case 11, 101: // ping, watches set anew
+		return header(xid, 0)
+	case -11: // close
+		delete(e.live, k.session)
+		for _, p := range slices.Collect(maps.Keys(e.nodes)) {
+			if e.nodes[p].owner == k.session {
+				delete(e.nodes, p)
+			}
+		}
+		return header(xid, 0)
+	}
+	return header(xid, unknown)
+}
+
+func header(xid int32, err int32) []byte {
+	b := binary.BigEndian.AppendUint32(nil, uint32(xid))
+	b = binary.BigEndian.AppendUint64(b, 1)
+	return binary.BigEndian.AppendUint32(b, uint32(err))
+}
+
+func str(b []byte, s string) []byte {
+	return append(binary.BigEndian.AppendUint32(b, uint32(len(s))), s...)
+}
+
+// text reads a string or a buffer.
+func text(b []byte) (string, []byte) {
+	if len(b) < 4 {
+		return "", nil
+	}
+	n := int(int32(binary.BigEndian.Uint32(b)))
+	if n < 0 || len(b) < 4+n {
+		return "", b[4:]
+	}
+	return string(b[4 : 4+n]), b[4+n:]
+}
+
+func frame(c net.Conn) ([]byte, error) {
+	var size [4]byte
+	if _, err := io.ReadFull(c, size[:]); err != nil {
+		return nil, err
+	}
+	b := make([]byte, min(binary.BigEndian.Uint32(size[:]), 1<<16))
+	_, err := io.ReadFull(c, b)
+	return b, err
+}
+
+func send(c net.Conn, b []byte) {
+	c.Write(append(binary.BigEndian.AppendUint32(nil, uint32(len(b))), b...))
+}
+
+func (e *ensemble) close() {
+	e.l.Close()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.breakAll()
+}
--- a/internal/rehearse/player.go
+++ b/internal/rehearse/player.go
@@ -215,6 +215,9 @@
 // leftovers are lines that nothing in the file accounts for.
 func (p *player) leftovers() (out []string) {
 	if p.pool != nil {
+		for _, l := range p.pool.first {
+			out = append(out, "left over: pool < "+l)
+		}
 		for {
 			select {
 			case l := <-p.pool.lines:
--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -1,8 +1,6 @@
 package rehearse
 
 import (
-	"os"
-	"path/filepath"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -10,28 +8,40 @@
 
 // Each exchange is played over its protocol; those in both must end alike over either.
 func TestExchanges(t *testing.T) {
-	for _, run := range []struct{ dir, protocol string }{
-		{"both", "http"}, {"both", "uwsgi"}, {"http", "http"}, {"uwsgi", "uwsgi"},
+	for _, x := range Shipped() {
+		t.Run(x.Protocol+"/"+x.Name, func(t *testing.T) {
+			t.Parallel()
+			want, got, err := Play(x.Text, x.Protocol)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// A player that can't find a difference proves nothing: a wrong answer, a step too many and a leftover are told.
+func TestDifferencesAreTold(t *testing.T) {
+	for _, c := range []struct {
+		name, text string
+		want       []string
+	}{
+		{"status", "node\npool up\ncheck a\nanswer a 503 load\n", []string{"- answer a 503 load", "+ answer a 200 load"}},
+		{"pool", "node\npool < {}\n", []string{"- pool < {}", `+ pool < {"msg":"bind","serial":0}`}},
+		{"leftover", "node\npool up\ncall a payout-book 00000000000000a1\npool unordered 1\n",
+			[]string{"- (nothing)", `+ left over: pool < {"msg":"spawn","call":"00000000000000a1",` +
+				`"service":"payout-book","blob":""}`}},
 	} {
-		files, err := filepath.Glob("exchanges/" + run.dir + "/*.txt")
-		if err != nil || len(files) == 0 {
-			t.Fatalf("no exchanges in %s: %v", run.dir, err)
-		}
-		for _, f := range files {
-			t.Run(run.protocol+"/"+filepath.Base(f), func(t *testing.T) {
-				t.Parallel()
-				text, err := os.ReadFile(f)
-				if err != nil {
-					t.Fatal(err)
-				}
-				want, got, err := Play(string(text), run.protocol)
-				if err != nil {
-					t.Fatal(err)
-				}
-				if diff := cmp.Diff(want, got); diff != "" {
-					t.Error(diff)
-				}
-			})
-		}
+		t.Run(c.name, func(t *testing.T) {
+			want, got, err := Play(c.text, "http")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(c.want, differences(want, got)); diff != "" {
+				t.Error(diff)
+			}
+		})
 	}
 }
--- /dev/null
+++ b/internal/zk/zk.go
@@ -0,0 +1,136 @@
+// Package zk registers a node in a ZooKeeper ensemble: an ephemeral znode that stands while the node serves. It
+// runs beside the service and never in its way: an ensemble that is lost, slow or full costs the znode alone.
+package zk
+
+import (
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/go-zookeeper/zk"
+)
+
+// again is the pause before a step that failed is tried once more, in milliseconds.
+const again = 1000
+
+// maxPacket bounds what is read from the ensemble at a time.
+const maxPacket = 64 << 10
+
+// Registration is one znode. Create it with Register.
+type Registration struct {
+	conn  *zk.Conn
+	path  string
+	data  []byte
+	logf  func(format string, args ...any)
+	nudge chan struct{}
+	leave chan float64
+}
+
+// Register makes the znode parent/name with the data, and again after each expiry of its session or if somebody
+// removes it. It returns at once. The ensemble removes the znode sessionMs after it heard of the node last.
+func Register(servers []string, sessionMs float64, parent, name string, data []byte,
+	logf func(format string, args ...any)) *Registration {
+	r := &Registration{path: parent + "/" + name, data: data, logf: logf, nudge: make(chan struct{}, 1),
+		leave: make(chan float64, 1)}
+	conn, _, err := zk.Connect(servers, time.Duration(sessionMs*float64(time.Millisecond)), zk.WithLogInfo(false),
+		zk.WithLogger(quiet{}), zk.WithMaxBufferSize(maxPacket), zk.WithEventCallback(r.event))
+	if err != nil {
+		logf("zk path=%s code=off error=%q", r.path, err)
+		return r
+	}
+	r.conn = conn
+	go r.run()
+	return r
+}
+
+// Leave removes the znode. It returns at once; by is the absolute time, in Unix milliseconds, at which the
+// connection is given up if the ensemble does not answer.
+func (r *Registration) Leave(by float64) {
+	select {
+	case r.leave <- by:
+	default:
+	}
+}
+
+// quiet drops the library's remarks: what matters is told by events.
+type quiet struct{}
+
+func (quiet) Printf(string, ...any) {}
+
+// event notes what happens to the session. It is called by the library and must not wait.
+func (r *Registration) event(e zk.Event) {
+	switch {
+	case e.Type == zk.EventSession && e.State == zk.StateExpired:
+		r.logf("zk path=%s code=expired", r.path)
+	case e.Type == zk.EventSession && e.State == zk.StateDisconnected:
+		r.logf("zk path=%s code=disconnected", r.path)
+	case e.Type == zk.EventSession && e.State == zk.StateHasSession, e.Type == zk.EventNodeDeleted:
+		select {
+		case r.nudge <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (r *Registration) run() {
+	retry := time.NewTimer(time.Hour)
+	for {
+		select {
+		case by := <-r.leave:
+			time.AfterFunc(time.Until(time.UnixMicro(int64(by*1e3))), r.conn.Close)
+			err := r.conn.Delete(r.path, -1)
+			r.logf("zk path=%s code=removed error=%q", r.path, text(err))
+			r.conn.Close()
+			return
+		case <-r.nudge:
+		case <-retry.C:
+		}
+		if err := r.ensure(); err != nil {
+			r.logf("zk path=%s code=failed error=%q", r.path, err)
+			retry.Reset(again * time.Millisecond)
+		}
+	}
+}
+
+func text(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// ensure sees to it that the znode is there and is this session's. One of an earlier life of this node would
+// vanish with that life's session, and the node would serve unseen.
+func (r *Registration) ensure() error {
+	acl := zk.WorldACL(zk.PermAll)
+	for range 3 {
+		there, stat, err := r.conn.Exists(r.path)
+		if err != nil {
+			return err
+		}
+		if there && stat.EphemeralOwner == r.conn.SessionID() {
+			// Watched from here on: the loss of the znode is an event that nudges.
+			_, _, _, err := r.conn.ExistsW(r.path)
+			return err
+		}
+		if there {
+			if err := r.conn.Delete(r.path, stat.Version); err != nil && !errors.Is(err, zk.ErrNoNode) {
+				return err
+			}
+		}
+		for i := 1; i < len(r.path); i++ { // the parents, persistent
+			if r.path[i] != '/' {
+				continue
+			}
+			if _, err := r.conn.Create(r.path[:i], nil, 0, acl); err != nil && !errors.Is(err, zk.ErrNodeExists) {
+				return err
+			}
+		}
+		if _, err := r.conn.Create(r.path, r.data, zk.FlagEphemeral, acl); err == nil {
+			r.logf("zk path=%s code=registered", r.path)
+		} else if !errors.Is(err, zk.ErrNodeExists) {
+			return err
+		}
+	}
+	return errors.New("the znode changes hands: " + strings.TrimPrefix(r.path, "/"))
+}
