Share answers to reads where the site lets them be shared

Seen: nothing ever asked the core's key table for anything. Cause: Policy.arrive kept entries of keyed classes alone, so no read was named in RepeatOf. Ruled out: a race of callers in reuse.txt, by the step held N, which waits for what the node has in hand and not for time.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -299,6 +299,9 @@
 	return next
 }
 
+// Open tells how many requests are owed an answer.
+func (c *Core) Open() int { return c.open }
+
 func (c *Core) do(o Output)              { c.out = append(c.out, o) }
 func (c *Core) event(e whinrudder.Event) { c.events = append(c.events, e) }
 func (c *Core) logf(f string, a ...any)  { c.do(Line{fmt.Sprintf(f, a...)}) }
@@ -565,10 +568,10 @@
 			}
 		case whinrudder.Keep:
 			if r := c.reqs[string(a.ID)]; r != nil {
-				c.keys.keep(r.Request, c.now+a.For)
+				c.keys.keep(r.Request, c.now, c.now+a.For)
 			}
 		case whinrudder.Forget:
-			c.keys.forget(string(a.ID))
+			c.keys.forget(string(a.ID), c.reuse)
 		case whinrudder.Reuse:
 			c.keys.reuse(string(a.ID), c.reuse)
 		case whinrudder.Health:
--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -38,7 +38,7 @@
 	repeat map[string]*entry // requests that repeat another, by their id
 }
 
-const maxEntries = 4096 // entries kept at a time; beyond, reads run by themselves
+const maxEntries = 1024 // entries kept at a time; beyond, reads run by themselves
 
 func newKeyTable() *keyTable {
 	return &keyTable{map[string]*entry{}, map[string]*entry{}, map[string]*entry{}}
@@ -56,13 +56,16 @@
 	return e.id
 }
 
-func (t *keyTable) keep(q *Request, until float64) {
+func (t *keyTable) keep(q *Request, now, until float64) {
 	k := keyOf(q)
 	if old := t.byKey[k]; old != nil && old.id != q.ID {
 		delete(t.byID, old.id)
 	}
 	e := t.byID[q.ID]
 	if e == nil {
+		if len(t.byID) >= maxEntries {
+			t.purge(now)
+		}
 		if len(t.byID) >= maxEntries {
 			return
 		}
@@ -72,13 +75,43 @@
 	t.byKey[k], t.byID[q.ID] = e, e
 }
 
-func (t *keyTable) forget(id string) {
-	if e := t.byID[id]; e != nil {
+// purge takes out what is over and no longer fresh.
+func (t *keyTable) purge(now float64) {
+	for id, e := range t.byID {
+		if e.until < now && len(e.waiting) == 0 {
+			t.remove(id)
+		}
+	}
+}
+
+func (t *keyTable) remove(id string) *entry {
+	e := t.byID[id]
+	if e != nil {
 		delete(t.byID, id)
 		if t.byKey[e.key] == e {
 			delete(t.byKey, e.key)
 		}
 	}
+	return e
+}
+
+// forget drops an entry. Its request was dropped before it ran, so those that wait for its answer fail: they
+// would wait to the end of their time for something that can't come.
+func (t *keyTable) forget(id string, serve func(id string, ok bool, result []byte)) {
+	if e := t.remove(id); e != nil && !e.over {
+		e.over = true
+		t.release(e, serve)
+	}
+}
+
+// release serves all that wait for an entry.
+func (t *keyTable) release(e *entry, serve func(id string, ok bool, result []byte)) {
+	waiting := e.waiting
+	e.waiting = nil
+	for _, w := range waiting {
+		delete(t.repeat, w)
+		serve(w, e.result != nil, e.result)
+	}
 }
 
 // gone takes a request that is over without a run out of the waiting line.
@@ -114,11 +147,7 @@
 	if ok {
 		e.result = append([]byte{}, result...)
 	} else {
-		t.forget(id)
-	}
-	for _, w := range e.waiting {
-		delete(t.repeat, w)
-		serve(w, ok, result)
+		t.remove(id) // a failure serves nobody later
 	}
-	e.waiting = nil
+	t.release(e, serve)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -58,6 +58,7 @@
 	conns     connTable
 	idle      atomic.Int64 // milliseconds that a connection may be idle
 	taking    atomic.Bool
+	open      atomic.Int64  // requests in hand
 	quit      chan struct{} // closed by Kill
 	over      chan struct{} // closed once the node has ended
 }
@@ -146,6 +147,9 @@
 	}
 }
 
+// InHand tells how many requests are owed an answer.
+func (n *Node) InHand() int { return int(n.open.Load()) }
+
 // Kill ends the node at once, as a kill of its process would.
 func (n *Node) Kill() { close(n.quit) }
 
@@ -193,6 +197,7 @@
 			}
 			n.carry(o)
 		}
+		n.open.Store(int64(n.core.Open()))
 		n.link.flush()
 	}
 }
--- a/internal/rehearse/player.go
+++ b/internal/rehearse/player.go
@@ -13,6 +13,7 @@
 //	pool unordered N           the next N lines may come in any order; they are then told in order of the alphabet
 //	pool drop                  the worker pool closes the link
 //	call NAME CLASS ID k=v ..  caller NAME sends a request: wait, kb, rank, from, key, body
+//	                           (a NAME.http or NAME.uwsgi speaks that protocol in any play)
 //	check NAME [real]          caller NAME sends a health check
 //	answer NAME ...            the answer that the caller reads: status, advice, body; of several, NAME,NAME, the
 //	                           first that comes, as what they sent may be read in any order
@@ -22,6 +23,7 @@
 //	log NAME CODE              the line that the connection left in the log
 //	announce < TEXT            waits for a report of that text
 //	leave                      the notice to drain
+//	held N                     waits until the node has N requests in hand
 //	wait MS                    so many milliseconds pass
 //	end                        the node has ended
 //	zk ...                     see ensemble.go
@@ -161,9 +163,9 @@
 		return "announce < " + p.reports.wait(more), nil
 	case "call", "check", "send":
 		c := p.callers[name]
-		if c == nil || (p.protocol == "uwsgi" && word != "send") {
+		if c == nil || c.protocol == "uwsgi" && word != "send" {
 			var err error
-			if c, err = dial(p.addr(), p.protocol); err != nil {
+			if c, err = p.dial(name); err != nil {
 				return word + " " + name + " refused", nil
 			}
 			p.callers[name] = c
@@ -187,6 +189,11 @@
 			return "", fmt.Errorf("no caller of that name")
 		}
 		return "log " + name + " " + p.log.code(c.c.LocalAddr().String()), nil
+	case "held":
+		for late := time.Now().Add(patience); fmt.Sprint(p.node.InHand()) != rest && time.Now().Before(late); {
+			time.Sleep(time.Millisecond)
+		}
+		return fmt.Sprint("held ", p.node.InHand()), nil
 	case "wait":
 		ms, err := strconv.Atoi(rest)
 		time.Sleep(time.Duration(ms) * time.Millisecond)
@@ -205,11 +212,14 @@
 	return "", fmt.Errorf("unknown step %q", word)
 }
 
-func (p *player) addr() string {
-	if p.protocol == "uwsgi" {
-		return p.node.Addr(1)
+// dial connects a caller. A name that ends in .http or .uwsgi speaks that, whatever the exchange is played over.
+func (p *player) dial(name string) (*caller, error) {
+	protocol := p.protocol
+	if _, suffix, ok := strings.Cut(name, "."); ok {
+		protocol = suffix
 	}
-	return p.node.Addr(0)
+	front := map[string]int{"http": 0, "uwsgi": 1}[protocol]
+	return dial(p.node.Addr(front), protocol)
 }
 
 // leftovers are lines that nothing in the file accounts for.
