--- a/policy.go
+++ b/policy.go
@@ -479,8 +479,10 @@
 		p.refuse(r)
 		return
 	}
-	reads := sc.Repeat == Safe && p.s.Fresh > 0 && r.Key != "" // where one answer may serve others
-	if sc.Repeat == Keyed || reads && p.used()+need+p.s.EntryKB <= memoryShare*p.s.Memory {
+	// One answer to a read may serve others, if there is room for its entry.
+	reads := sc.Repeat == Safe && p.s.Fresh > 0 && r.Key != "" &&
+		p.used()+need+p.s.EntryKB <= memoryShare*p.s.Memory
+	if sc.Repeat == Keyed || reads {
 		p.keep(r)
 	}
 	p.hold = append(p.hold, r)
@@ -509,8 +511,8 @@
 	return min(r.arrived, r.Due-deadline)
 }
 
-// keep enters a request into the table at reading: its window opened when it reached the server. A read is kept
-// while its answer can come and be fresh.
+// keep enters a request into the table at reading: its window opened when it reached the server. A read is
+// kept while its answer can come and be fresh.
 func (p *Policy) keep(r *request) {
 	end := r.arrived + p.s.Classes[r.Class].Window + 2*p.s.Tick
 	if p.s.Classes[r.Class].Repeat == Safe {
@@ -665,7 +667,8 @@
 	}
 }
 
-// halt stops work that nobody awaits. Keyed work runs on: its repeats live on its answer, as do those of a read.
+// halt stops work that nobody awaits. Keyed work runs on: its repeats live on its answer, as do those of a
+// read that others wait for.
 func (p *Policy) halt(r *request) {
 	if r.phase != running || r.stopped || p.s.Halt == HaltNone || p.s.Classes[r.Class].Repeat != Safe ||
 		slices.ContainsFunc(p.share, func(o *request) bool { return o.RepeatOf == r.ID }) {
