--- a/cmd/whinrudder/main.go
+++ b/cmd/whinrudder/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -21,40 +22,56 @@
 const version = "0.1.0"
 
 func main() {
+	if err := app(os.Stdout).Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "whinrudder:", err)
+		os.Exit(1)
+	}
+}
+
+// app is the command line; what it is asked for goes to out.
+func app(out io.Writer) *cli.Command {
 	config := &cli.StringFlag{Name: "config", Usage: "file with the node's configuration",
 		Sources: cli.EnvVars("ROUTER_CONFIG")}
 	operator := &cli.StringFlag{Name: "operator", Usage: "operator's file: uwsgi and ZooKeeper, off without it",
 		Sources: cli.EnvVars("WHINRUDDER_OPERATOR")}
-	app := &cli.Command{
-		Name: "whinrudder", Usage: "payout node with admission and shedding", Version: version,
+	addr := &cli.StringFlag{Name: "addr", Usage: "address of a front", Value: "127.0.0.1:8080"}
+	protocol := &cli.StringFlag{Name: "protocol", Usage: "http or uwsgi", Value: "http"}
+	return &cli.Command{
+		Name: "whinrudder", Writer: out, Usage: "payout node with admission and shedding", Version: version,
 		DefaultCommand: "serve",
 		Commands: []*cli.Command{
 			{Name: "serve", Usage: "serve until SIGTERM (the default)", Flags: []cli.Flag{config, operator},
-				Action: func(ctx context.Context, c *cli.Command) error { return serve(ctx, c) }},
+				Action: func(ctx context.Context, c *cli.Command) error { return serve(ctx, c, out) }},
 			{Name: "check", Usage: "check a configuration and name all its faults", Flags: []cli.Flag{config, operator},
 				Action: func(_ context.Context, c *cli.Command) error {
 					if _, _, err := load(c); err != nil {
 						return err
 					}
-					fmt.Println("config ok")
+					fmt.Fprintln(out, "config ok")
 					return nil
 				}},
 			{Name: "rehearse", Usage: "play exchange files against a node between stand-ins; without files, those shipped",
 				ArgsUsage: "[FILE ...]", Flags: []cli.Flag{&cli.StringFlag{Name: "protocol", Value: "both",
 					Usage: "http, uwsgi or both, for the files named"}},
 				Action: func(_ context.Context, c *cli.Command) error {
-					return rehearse.Command(os.Stdout, c.String("protocol"), c.Args().Slice())
+					return rehearse.Command(out, c.String("protocol"), c.Args().Slice())
+				}},
+			{Name: "call", Usage: "send one request to a node and print its answer", ArgsUsage: "CLASS [BODY]",
+				Flags: []cli.Flag{addr, protocol, &cli.StringFlag{Name: "wait", Usage: "milliseconds", Value: "5000"}},
+				Action: func(_ context.Context, c *cli.Command) error {
+					return ask(out, c, "call", rehearse.Request(c.Args().Get(0), c.Args().Get(1), c.String("wait")))
+				}},
+			{Name: "health", Usage: "ask a node for its health and print the answer",
+				Flags: []cli.Flag{addr, protocol, &cli.BoolFlag{Name: "real", Usage: "ask whether work gets done"}},
+				Action: func(_ context.Context, c *cli.Command) error {
+					return ask(out, c, "check", map[bool]string{true: "real"}[c.Bool("real")])
 				}},
 			{Name: "version", Usage: "print the version", Action: func(context.Context, *cli.Command) error {
-				fmt.Println("whinrudder", version)
+				fmt.Fprintln(out, "whinrudder", version)
 				return nil
 			}},
 		},
 	}
-	if err := app.Run(context.Background(), os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "whinrudder:", err)
-		os.Exit(1)
-	}
 }
 
 // load reads the files that the flags name. The error names the faults of both.
@@ -76,12 +93,12 @@
 	return cfg, op, err
 }
 
-func serve(ctx context.Context, c *cli.Command) error {
+func serve(ctx context.Context, c *cli.Command, out io.Writer) error {
 	cfg, op, err := load(c)
 	if err != nil {
 		return err
 	}
-	n, err := node.New(cfg, op, os.Stdout)
+	n, err := node.New(cfg, op, out)
 	if err != nil {
 		return err
 	}
@@ -93,3 +110,11 @@
 	n.Run(ctx, stop)
 	return nil
 }
+
+func ask(out io.Writer, c *cli.Command, word, text string) error {
+	answer, err := rehearse.Ask(c.String("addr"), c.String("protocol"), word, text)
+	if err == nil {
+		_, err = fmt.Fprintln(out, answer)
+	}
+	return err
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -392,7 +392,7 @@
 	s.Cold = b.Cold
 	p, err := whinrudder.New(s, c.seed)
 	if err != nil {
-		c.logf("module fault: %v", err)
+		c.logf("module fault=%q", err)
 		return
 	}
 	c.policy = p
@@ -407,7 +407,7 @@
 	r := &request{Request: q, open: true}
 	if c.known(q.ID) {
 		// Never to the module, and never to the pool: an id that ran once must not run again.
-		c.logf("duplicate id %s", q.ID)
+		c.logf("request id=%s code=duplicate", q.ID)
 		c.direct(q.To, Answer{ID: q.ID, Outcome: Doubled})
 		return
 	}
@@ -436,7 +436,7 @@
 			continue
 		}
 		if c.settings.Classes[r.Class].Repeat != whinrudder.Safe {
-			c.logf("run %s in doubt", s)
+			c.logf("run id=%s code=doubt", s)
 			continue
 		}
 		c.do(Spawn{r.ID, r.Class, r.Body})
@@ -583,9 +583,9 @@
 		case whinrudder.Wake:
 			heap.Push(&c.wakes, wake{a.At, a.Token})
 		case whinrudder.Log:
-			c.logf("module: %s", a.Text)
+			c.logf("module text=%q", a.Text)
 		default:
-			c.logf("module fault: %T has no meaning here", a)
+			c.logf("module fault=%q", fmt.Sprintf("%T has no meaning here", a))
 		}
 	}
 }
@@ -595,7 +595,7 @@
 	last := c.leaving && c.now >= c.stopAt-lastAt
 	for _, r := range c.reqs {
 		if r.open && (last || c.now >= r.Due+backstop) {
-			c.logf("request %s was left without an answer", r.ID)
+			c.logf("request id=%s code=left-open", r.ID)
 			c.fail(r)
 		}
 	}
--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -142,6 +142,8 @@
 			return "eof"
 		case errors.Is(err, net.ErrClosed):
 			return "drain"
+		case errors.Is(err, io.EOF):
+			return "part"
 		default:
 			return "reset"
 		}
--- /dev/null
+++ b/internal/node/conn_test.go
@@ -0,0 +1,78 @@
+package node
+
+import (
+	"errors"
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"whinrudder/internal/core"
+	"whinrudder/internal/front"
+	"whinrudder/internal/httpfront"
+	"whinrudder/internal/settings"
+)
+
+// lines takes the log, one line a write, and keeps what follows the time and the peer.
+type lines chan string
+
+func (l lines) Write(b []byte) (int, error) {
+	_, code, _ := strings.Cut(strings.TrimSpace(string(b)), "code=")
+	l <- code
+	return len(b), nil
+}
+
+func testNode(log lines) *Node {
+	n := &Node{cfg: settings.Config{}, log: log, in: make(chan core.Input, 8), over: make(chan struct{})}
+	n.conns.most = 8
+	n.idle.Store(30000)
+	n.site = front.NewSite(nil, n.cfg.Settings.Policy)
+	return n
+}
+
+// A peer that never reads its answer must not hold its goroutine for ever: it is cut at the answer's own time. A
+// pipe has no buffer, so that nothing but the deadline can end the write.
+func TestPeerThatDoesNotReadIsCut(t *testing.T) {
+	log := make(lines, 4)
+	n := testNode(log)
+	here, there := net.Pipe()
+	defer there.Close()
+	k := &conn{node: n, c: here, front: "http", parser: httpfront.New(n.site)}
+	go k.serve()
+	if _, err := there.Write([]byte("GET /health HTTP/1.1\r\n\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	(<-n.in).(core.Checked).To.Deliver(core.Answer{WriteBy: now() + 20})
+	if diff := cmp.Diff("write served=0", <-log); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// listener fails as one does that is out of descriptors, then hands out a connection, then is closed.
+type listener struct{ results []any }
+
+func (l *listener) Accept() (net.Conn, error) {
+	r := l.results[0]
+	l.results = l.results[1:]
+	if c, ok := r.(net.Conn); ok {
+		return c, nil
+	}
+	return nil, r.(error)
+}
+func (l *listener) Close() error   { return nil }
+func (l *listener) Addr() net.Addr { return nil }
+
+// An error of accept must not end the front: what is out of descriptors now is not so later.
+func TestAcceptErrorsAreSurvived(t *testing.T) {
+	log := make(lines, 4)
+	n := testNode(log)
+	here, there := net.Pipe()
+	there.Close()
+	n.accept(&listener{[]any{errors.New("too many open files"), here, net.ErrClosed}}, "http",
+		func() front.Parser { return httpfront.New(n.site) })
+	<-log // of the error
+	if diff := cmp.Diff("eof served=0", <-log); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/rehearse/caller.go
+++ b/internal/rehearse/caller.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"reflect"
 	"regexp"
@@ -56,6 +57,28 @@
 	return &caller{c: c, r: bufio.NewReader(c), protocol: protocol}, nil
 }
 
+// Request is the text of a call step: a request of a class with a fresh id.
+func Request(class, body, wait string) string {
+	return fmt.Sprintf("%s %016x wait=%s body=%q", class, rand.Uint64(), wait, body)
+}
+
+// Ask sends one call or check to a node and returns the answer as an exchange tells it: the status, what rides on
+// it and the body.
+func Ask(addr, protocol, word, text string) (string, error) {
+	if protocol != "http" && protocol != "uwsgi" {
+		return "", fmt.Errorf("unknown protocol %q", protocol)
+	}
+	c, err := dial(addr, protocol)
+	if err != nil {
+		return "", err
+	}
+	defer c.c.Close()
+	if err := c.say(word, text); err != nil {
+		return "", err
+	}
+	return c.hear("answer", ""), nil
+}
+
 // say sends a request, a check or raw bytes.
 func (c *caller) say(word, text string) error {
 	c.sent = time.Now()
--- a/internal/settings/config.go
+++ b/internal/settings/config.go
@@ -27,7 +27,7 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("config: %w", err)
 	}
-	r := reader{}
+	r := reader{what: "config"}
 	root := r.object("config", v)
 	limits := r.object("limits", root.Get("limits"))
 	c := Config{Name: r.text(root, "name"), Listen: r.text(root, "listen"), Pool: r.text(root, "pool"),
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -22,7 +22,7 @@
 	if err != nil {
 		return Operator{}, fmt.Errorf("operator: %w", err)
 	}
-	r := reader{}
+	r := reader{what: "operator"}
 	root := r.object("operator", v)
 	var o Operator
 	if u := r.object("uwsgi", root.Get("uwsgi")); u != nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 
 	"github.com/valyala/fastjson"
 
@@ -30,7 +31,7 @@
 
 // FromValue is Parse for an object that is part of a larger one. It keeps nothing of v.
 func FromValue(v *fastjson.Value) (Settings, error) {
-	r := reader{}
+	r := reader{what: "settings"}
 	root := r.object("settings", v)
 	sp, ru := r.object("specifics", root.Get("specifics")), r.object("rules", root.Get("rules"))
 	goal, allowed := r.object("goal", root.Get("goal")), r.object("allowed", root.Get("allowed"))
@@ -86,10 +87,13 @@
 }
 
 // reader takes typed values out of objects and collects what is wrong.
-type reader struct{ faults []error }
+type reader struct {
+	what   string // what is read, before each fault
+	faults []error
+}
 
 func (r *reader) fault(format string, args ...any) {
-	r.faults = append(r.faults, fmt.Errorf("settings: "+format, args...))
+	r.faults = append(r.faults, fmt.Errorf(r.what+": "+format, args...))
 }
 
 func (r *reader) object(name string, v *fastjson.Value) *fastjson.Value {
@@ -106,8 +110,9 @@
 		return 0
 	}
 	f, err := v.Float64()
-	if err != nil {
-		r.fault("%s is no number", key)
+	if err != nil || math.IsNaN(f) || math.IsInf(f, 0) {
+		r.fault("%s is no finite number", key)
+		return 0
 	}
 	return f
 }
