Make the exchange player sound: one verdict whatever the order of answers

Seen under go test -race: a data race on caller.over, and refuse.txt failing with a second refusal that never came. Cause: caller.hear marked a caller as over when its answer was read, not when it was taken, so first() dropped the second refusal (caller.go, first and hear). And refuse.txt went on to spawns whose order hangs on which caller was read first, with cores told idle, so the limit grew with time. Ruled out: the node; both refusals were sent. Checked: -race -count=4 passes.

--- a/internal/rehearse/caller.go
+++ b/internal/rehearse/caller.go
@@ -21,14 +21,20 @@
 	r        *bufio.Reader
 	protocol string
 	sent     time.Time // Req-Time of its last request
-	heard    chan string
+	heard    chan heard
 	over     bool // was told that the connection ends
 }
 
+// heard is an answer as an exchange tells it. Last says that the connection ends after it.
+type heard struct {
+	text string
+	last bool
+}
+
 // ask starts to read an answer, unless that is under way.
-func (c *caller) ask(word, want string) chan string {
+func (c *caller) ask(word, want string) chan heard {
 	if c.heard == nil {
-		ch := make(chan string, 1)
+		ch := make(chan heard, 1)
 		c.heard = ch
 		go func() { ch <- c.hear(word, want) }()
 	}
@@ -45,8 +51,10 @@
 		cases = append(cases, reflect.SelectCase{Dir: reflect.SelectRecv, Chan: reflect.ValueOf(c.ask(word, want))})
 	}
 	i, v, _ := reflect.Select(cases)
-	callers[i].heard = nil
-	return v.String()
+	h := v.Interface().(heard)
+	// Only the answer that is taken counts: another one that came meanwhile is still to be told.
+	callers[i].heard, callers[i].over = nil, h.last
+	return h.text
 }
 
 func dial(addr, protocol string) (*caller, error) {
@@ -76,7 +84,7 @@
 	if err := c.say(word, text); err != nil {
 		return "", err
 	}
-	return c.hear("answer", ""), nil
+	return c.hear("answer", "").text, nil
 }
 
 // say sends a request, a check or raw bytes.
@@ -151,7 +159,7 @@
 
 // hear reads one answer. As raw bytes it is told whole; else by its status, its advice and its body. A want of
 // after=MS holds if the answer came no sooner after Req-Time.
-func (c *caller) hear(word, want string) string {
+func (c *caller) hear(word, want string) (h heard) {
 	c.c.SetReadDeadline(time.Now().Add(patience))
 	raw, length, status := "", 0, ""
 	f := map[string]string{}
@@ -159,7 +167,7 @@
 		line, err := c.r.ReadString('\n')
 		raw += line
 		if err != nil {
-			return strings.TrimSpace(fmt.Sprintf("%q ended: %v", raw, plain(err)))
+			return heard{text: fmt.Sprintf("%q ended: %v", raw, plain(err))}
 		}
 		line = strings.TrimRight(line, "\r\n")
 		if status == "" {
@@ -174,14 +182,15 @@
 	length, _ = strconv.Atoi(f["Content-Length"])
 	body := make([]byte, length)
 	if _, err := io.ReadFull(c.r, body); err != nil {
-		return fmt.Sprintf("%q ended within the body", raw)
+		return heard{text: fmt.Sprintf("%q ended within the body", raw)}
 	}
 	if f["Connection"] == "close" {
-		c.over = true
+		h.last = true
 		defer c.c.Close() // as callers do once all is answered
 	}
 	if word == "recv" {
-		return strconv.Quote(load.ReplaceAllString(raw, "Srv-Load: N") + string(body))
+		h.text = strconv.Quote(load.ReplaceAllString(raw, "Srv-Load: N") + string(body))
+		return h
 	}
 	out := status
 	if f["Srv-Load"] != "" {
@@ -205,7 +214,8 @@
 	if length > 0 {
 		out += " " + strconv.Quote(string(body))
 	}
-	return out
+	h.text = out
+	return h
 }
 
 func plain(err error) string {
--- a/internal/rehearse/standin.go
+++ b/internal/rehearse/standin.go
@@ -12,7 +12,8 @@
 )
 
 // poolStandIn is a toy worker pool. It does no work: the exchange says what it tells. Polls for gauges are
-// answered by itself, as they come at times of the node's own.
+// answered by itself, as they come at times of the node's own; its cores are always busy, so that the module's limit
+// does not grow with the time that an exchange takes.
 type poolStandIn struct {
 	l     net.Listener
 	lines chan string
@@ -54,7 +55,7 @@
 		}
 		line = strings.TrimSuffix(line, "\n")
 		if line == gaugePoll {
-			s.write(`{"msg":"polled","cookie":"gauges","stats":[0.5,1,0.1,4]}`)
+			s.write(`{"msg":"polled","cookie":"gauges","stats":[1,1,0.1,4]}`)
 			continue
 		}
 		s.lines <- line
@@ -114,7 +115,7 @@
 		if bind != `{"msg":"bind","serial":0}` || fence != `{"msg":"poll","cookie":"fence1"}` {
 			return "pool up with " + bind + fence, nil
 		}
-		return line, s.write(`{"msg":"polled","cookie":"fence1","stats":[0.5,1,0.1,4]}`)
+		return line, s.write(`{"msg":"polled","cookie":"fence1","stats":[1,1,0.1,4]}`)
 	}
 	return "", fmt.Errorf("unknown step of the pool")
 }
