Hold starts in the core while there is no link, so that none outlives its request

Seen by reading: a start queued on the link was sent after the link came back even if its caller had its answer by then, and the queue grew for as long as the pool was away. Faulty lines: core.act, Run always became a Spawn; pool.Push keeps what it gets. Now a start waits in the core until the link is in step and ends as moot with its request: it provably did not run. Also: Req-Wait-Ms over an hour is bad-wait, and a Req-Time over 1 s ahead of the clock is taken as now, as each leaves a timer in the heap for its length.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -173,6 +173,7 @@
 const (
 	gaugeWait = 8    // a timer waits so long for fresh gauges, then it goes without
 	checkWait = 1500 // a deep check that got no word of its work by then is bad
+	maxAhead  = 1000 // a request that claims to come later than this from now is taken to come now
 	writeWait = 1000 // a peer that takes an answer no sooner is cut
 	backstop  = 30   // a request that the module left without an answer so long after it fell due is failed
 	deafAt    = 400  // this long before the stop no new connection is taken
@@ -185,6 +186,7 @@
 	*Request
 	open    bool // an answer is owed
 	running bool // a run was started and is not over
+	queued  bool // and its start waits for the link to the worker pool
 }
 
 type wake struct {
@@ -230,6 +232,7 @@
 	asked  []wake  // timers that wait for gauges
 	askBy  float64 // and until when
 	linked bool
+	queue  []string // runs to be started once the link is in step
 
 	checks []check
 	tags   int
@@ -330,9 +333,18 @@
 	c.open--
 	a.ID = r.ID
 	c.direct(r.To, a)
+	c.unqueue(r)
 	c.drop(r)
 }
 
+// unqueue ends a run whose start never left: it provably did not run, and nothing must start it later.
+func (c *Core) unqueue(r *request) {
+	if r.queued && !r.open {
+		r.queued, r.running = false, false
+		c.event(whinrudder.Ended{ID: id(r.ID), Code: whinrudder.Moot})
+	}
+}
+
 // drop forgets a request of which nothing more can come.
 func (c *Core) drop(r *request) {
 	if !r.open && !r.running && c.reqs[r.ID] == r {
@@ -351,6 +363,7 @@
 			c.open--
 			c.event(whinrudder.Gone{ID: id(r.ID)})
 			c.keys.gone(r.ID)
+			c.unqueue(r)
 			c.drop(r)
 		}
 	case Checked:
@@ -404,6 +417,9 @@
 }
 
 func (c *Core) arrived(q *Request) {
+	if ahead := q.Came - c.now; ahead > maxAhead {
+		q.Came, q.Due = c.now, q.Due-ahead // a stamp of the future would keep its timers for as long
+	}
 	r := &request{Request: q, open: true}
 	if c.known(q.ID) {
 		// Never to the module, and never to the pool: an id that ran once must not run again.
@@ -441,6 +457,13 @@
 		}
 		c.do(Spawn{r.ID, r.Class, r.Body})
 	}
+	for _, s := range c.queue {
+		if r := c.reqs[s]; r != nil && r.queued {
+			r.queued = false
+			c.do(Spawn{r.ID, r.Class, r.Body})
+		}
+	}
+	c.queue = c.queue[:0]
 }
 
 func (c *Core) finished(f Finished) {
@@ -551,10 +574,15 @@
 		case whinrudder.Run:
 			if r := c.reqs[string(a.ID)]; r != nil && r.open && !r.running {
 				r.running = true
+				if !c.linked {
+					r.queued = true
+					c.queue = append(c.queue, r.ID)
+					continue
+				}
 				c.do(Spawn{r.ID, r.Class, r.Body})
 			}
 		case whinrudder.Stop:
-			if r := c.reqs[string(a.ID)]; r != nil && r.running {
+			if r := c.reqs[string(a.ID)]; r != nil && r.running && !r.queued {
 				c.do(Suspend{r.ID})
 			}
 		case whinrudder.Refuse:
--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,47 @@
+package core
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"whinrudder"
+)
+
+type sink string
+
+func (sink) Deliver(Answer) {}
+
+// A deep check does work unless the module answers from store; one that gets no word of it in time is bad, and no
+// more are at work than the bound allows.
+func TestDeepChecksDoWork(t *testing.T) {
+	c, err := New(whinrudder.Settings{Cores: 1, Memory: 1e6, Tick: 2, Halt: whinrudder.HaltAbort, Say: whinrudder.SayNothing,
+		Rules:   whinrudder.Rules{FallMultiple: 8},
+		Classes: []whinrudder.Class{{Aim: 1, Deadline: 2, Repeat: whinrudder.Safe}}}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Step(1000, []Input{Bound{}, Synced{}})
+	c.health = whinrudder.Health{Good: true} // the module here always answers from store
+	reply := func(to string, o Outcome, at float64) Output {
+		return Reply{sink(to), Answer{Outcome: o, Load: -1, WriteBy: at + writeWait}}
+	}
+	polls := cmpopts.IgnoreSliceElements(func(o Output) bool { _, poll := o.(Poll); return poll })
+	for _, s := range []struct {
+		at   float64
+		in   []Input
+		want []Output
+	}{
+		{1001, []Input{Checked{false, sink("a")}, Checked{true, sink("b")}, Checked{true, sink("c")}},
+			[]Output{reply("a", Served, 1001), Verify{"check1"}, Verify{"check2"}}},
+		{1002, []Input{Verified{"check1", false}, Verified{"nobody's", true}}, []Output{reply("b", Failed, 1002)}},
+		{1001 + checkWait, nil, []Output{reply("c", Failed, 1001+checkWait)}},
+		{3000, []Input{Lost{}, Checked{true, sink("d")}}, []Output{reply("d", Failed, 3000)}},
+	} {
+		got := append([]Output{}, c.Step(s.at, s.in)...)
+		if diff := cmp.Diff(s.want, got, polls, cmpopts.EquateEmpty()); diff != "" {
+			t.Errorf("at %v: %s", s.at, diff)
+		}
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -80,7 +80,10 @@
 	return nil
 }
 
-const maxKey = 256
+const (
+	maxKey  = 256
+	maxWait = 3600e3 // milliseconds: timers are kept for as long as a caller says that it waits
+)
 
 // Request checks the fields and makes a request of them.
 func (t *Site) Request(class string, f Fields, body []byte) Message {
@@ -105,7 +108,7 @@
 		{f.Time, "bad-time", &r.Came, func(v float64) bool { return v > 0 && v < 1e15 }},
 		{f.KB, "bad-kb", &r.KB, func(v float64) bool { return v > 0 && v < 2000 }},
 		{f.Rank, "bad-rank", &r.Rank, func(v float64) bool { return v >= 0 && v < 1 }},
-		{f.Wait, "bad-wait", &wait, func(v float64) bool { return v > 0 && v < 1e9 }},
+		{f.Wait, "bad-wait", &wait, func(v float64) bool { return v > 0 && v <= maxWait }},
 	} {
 		if v.text == "" && v.to == &wait && !t.Policy.PassesDeadline {
 			wait = t.Policy.Classes[n].Deadline
