Never wait for the log; take only class names that are safe in a path

Seen by reading: the core's goroutine wrote its lines to standard output itself (node.logf under a mutex), so a reader of the log that stalls would have stalled every answer. Now lines go through a bounded queue that nothing waits for; what finds no room is dropped and counted (log dropped=). A connection's line is queued before its place is given back, so that the end waits for it. Also: class names with quotes or slashes are a fault of the configuration, as they stand in commands to the worker pool and in paths.

--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -91,8 +91,8 @@
 	if k.open != "" {
 		k.node.tell(core.Left{ID: k.open})
 	}
-	k.node.conns.remove(k)
 	k.end(code)
+	k.node.conns.remove(k) // after the line was left: the end of the node waits for this
 }
 
 // talk reads and writes until the connection is to end, and returns the code of the reason.
--- a/internal/node/conn_test.go
+++ b/internal/node/conn_test.go
@@ -24,7 +24,7 @@
 }
 
 func testNode(log lines) *Node {
-	n := &Node{cfg: settings.Config{}, log: log, in: make(chan core.Input, 8), over: make(chan struct{})}
+	n := &Node{cfg: settings.Config{}, log: newLogger(log), in: make(chan core.Input, 8), over: make(chan struct{})}
 	n.conns.most = 8
 	n.idle.Store(30000)
 	n.site = front.NewSite(nil, n.cfg.Settings.Policy)
@@ -49,6 +49,23 @@
 	}
 }
 
+// stuck is a log that nobody reads: a write never ends.
+type stuck chan struct{}
+
+func (s stuck) Write(b []byte) (int, error) { <-s; return len(b), nil }
+
+// A log that nobody reads must not stop the core, nor the end of the process.
+func TestCoreDoesNotWaitForTheLog(t *testing.T) {
+	l := newLogger(make(stuck))
+	for range 2 * logRoom {
+		l.printf("line")
+	}
+	l.flush(now() + 20)
+	if n := l.dropped.Load(); n < logRoom-1 {
+		t.Errorf("%d lines dropped of %d", n, 2*logRoom)
+	}
+}
+
 // listener fails as one does that is out of descriptors, then hands out a connection, then is closed.
 type listener struct{ results []any }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,7 +10,6 @@
 	"os"
 	"runtime"
 	"runtime/debug"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -38,6 +37,9 @@
 // past is a deadline that is over: it wakes a connection that waits for bytes.
 var past = time.UnixMilli(1)
 
+// flushFor is how long the end waits for the log, in milliseconds: less than the core leaves before the stop.
+const flushFor = 40
+
 // sockets that the process keeps for itself: its listeners, the links, the log, the runtime's own.
 const ownSockets = 32
 
@@ -46,8 +48,7 @@
 	cfg  settings.Config
 	op   settings.Operator
 	site *front.Site
-	log  io.Writer
-	mu   sync.Mutex // of the log
+	log  *logger
 
 	in   chan core.Input
 	core *core.Core
@@ -69,7 +70,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{cfg: cfg, op: op, site: front.NewSite(cfg.Settings.Classes, cfg.Settings.Policy), log: log, core: c,
+	n := &Node{cfg: cfg, op: op, site: front.NewSite(cfg.Settings.Classes, cfg.Settings.Policy), log: newLogger(log), core: c,
 		in: make(chan core.Input, 4096), quit: make(chan struct{}), over: make(chan struct{})}
 	n.conns.most = cfg.Sockets - ownSockets
 	n.idle.Store(int64(cfg.Settings.Policy.KeepAlive))
@@ -78,13 +79,7 @@
 	return n, nil
 }
 
-func (n *Node) logf(format string, args ...any) {
-	b := fmt.Appendf(nil, "%s ", time.Now().UTC().Format("15:04:05.000"))
-	b = fmt.Appendf(b, format+"\n", args...)
-	n.mu.Lock()
-	n.log.Write(b)
-	n.mu.Unlock()
-}
+func (n *Node) logf(format string, args ...any) { n.log.printf(format, args...) }
 
 // limits keeps the process within what the configuration grants it.
 func (n *Node) limits() {
@@ -137,6 +132,7 @@
 	n.conns.closeAll()
 	n.link.close()
 	n.logf("end name=%s", n.cfg.Name)
+	n.log.flush(now() + flushFor)
 }
 
 // tell hands something to the core, unless the node has ended.
--- a/internal/settings/config.go
+++ b/internal/settings/config.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"strconv"
+	"strings"
 
 	"github.com/valyala/fastjson"
 
@@ -74,6 +75,8 @@
 	return nil
 }
 
+const nameChars = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-"
+
 // serves tells what a payout node can't do though the module could: its protocols carry no calls to a
 // dependency and no name by which tries of a keyed class know each other.
 func (s Settings) serves() error {
@@ -81,8 +84,9 @@
 	fault := func(format string, args ...any) { errs = append(errs, fmt.Errorf("settings: "+format, args...)) }
 	seen := map[string]bool{}
 	for i, c := range s.Policy.Classes {
-		if n := s.Classes[i]; n == "" || seen[n] {
-			fault("profiles[%d].name is %q, want a name of its own", i, n)
+		// A name is the last part of a path and stands in commands to the worker pool.
+		if n := s.Classes[i]; n == "" || seen[n] || strings.Trim(n, nameChars) != "" {
+			fault("profiles[%d].name is %q, want a name of its own of letters, digits, . _ -", i, n)
 		}
 		seen[s.Classes[i]] = true
 		if c.Repeat == whinrudder.Keyed {
