Reload on SIGHUP: move the link and the reports to the new addresses, keep the runs

Checked: main.go caught SIGTERM and SIGINT only; link.addr and the address of the reports were read once at the start. Ruled out by the shape of the protocol: a plain close of the old link, since commands on it might be unread. At fault: cmd/whinrudder/main.go serve (signals), node/link.go run (one address for life), node.go announce. Now the file is read and checked whole at each SIGHUP; a faulty one is logged and the old one stays. The link dials the new address, takes leave on the old one by a last poll whose answer proves that all was read, and binds with the last serial; a report goes to the new address at once. stop_ms and limits apply, the rest is logged as kept. A broken link is now made again at once, then every 100 ms.

--- a/cmd/whinrudder/main.go
+++ b/cmd/whinrudder/main.go
@@ -40,7 +40,7 @@
 		Name: "whinrudder", Writer: out, Usage: "payout node with admission and shedding", Version: version,
 		DefaultCommand: "serve",
 		Commands: []*cli.Command{
-			{Name: "serve", Usage: "serve until SIGTERM (the default)", Flags: []cli.Flag{config, operator},
+			{Name: "serve", Usage: "serve until SIGTERM, reload at SIGHUP (the default)", Flags: []cli.Flag{config, operator},
 				Action: func(ctx context.Context, c *cli.Command) error { return serve(ctx, c, out) }},
 			{Name: "check", Usage: "check a configuration and name all its faults", Flags: []cli.Flag{config, operator},
 				Action: func(_ context.Context, c *cli.Command) error {
@@ -94,6 +94,10 @@
 }
 
 func serve(ctx context.Context, c *cli.Command, out io.Writer) error {
+	// First of all: a signal that nobody takes ends the process.
+	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reload, syscall.SIGHUP)
 	cfg, op, err := load(c)
 	if err != nil {
 		return err
@@ -102,12 +106,10 @@
 	if err != nil {
 		return err
 	}
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	if err := n.Listen(); err != nil {
 		return err
 	}
-	n.Run(ctx, stop)
+	n.Run(ctx, stop, reload, func() (settings.Config, settings.Operator, error) { return load(c) })
 	return nil
 }
 
--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -241,6 +241,13 @@
 	return true
 }
 
+// limit sets how many connections there may be. Those that are open stay.
+func (t *connTable) limit(most int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.most = most
+}
+
 func (t *connTable) remove(k *conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/node/link.go
+++ b/internal/node/link.go
@@ -15,6 +15,8 @@
 const (
 	linkWrite = 2000 // a worker pool that has not taken commands by then is cut
 	linkAgain = 100  // pause between two tries to connect
+	linkDial  = 100  // a worker pool that has not taken the connection by then is tried again
+	linkLeave = 200  // how long a link that moves waits for the answer to its last poll
 )
 
 // link drives the connection to the worker pool, in one goroutine; the core's only queues commands and wakes it.
@@ -44,7 +46,21 @@
 	l.mu.Unlock()
 }
 
-// close wakes the goroutine of the link at the end of the node.
+// move makes the link change to another address.
+func (l *link) move(addr string) {
+	l.mu.Lock()
+	l.addr = addr
+	l.mu.Unlock()
+	l.close()
+}
+
+func (l *link) to() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.addr
+}
+
+// close wakes the goroutine of the link: the node ends, or the address is another.
 func (l *link) close() {
 	l.mu.Lock()
 	if l.c != nil {
@@ -53,49 +69,82 @@
 	l.mu.Unlock()
 }
 
-// run holds the link open as long as the process lives.
+// wire is a connection to the worker pool and the address that it was made to.
+type wire struct {
+	net.Conn
+	addr string
+}
+
+// run holds the link open as long as the process lives. A broken link is made again at once, then every linkAgain.
 func (l *link) run() {
-	for {
-		select {
-		case <-l.node.over:
-			return
-		default:
-		}
-		c, err := net.Dial("tcp", l.addr)
-		if err != nil {
-			time.Sleep(time.Until(at(now() + linkAgain)))
-			continue
+	var c, next *wire
+	for again := now(); !l.node.ended(); c, next = next, nil {
+		if c == nil {
+			time.Sleep(time.Until(at(again)))
+			again = now() + linkAgain
+			if c = dialLink(l.to()); c == nil {
+				continue
+			}
 		}
-		code := l.talk(c)
+		code := ""
+		code, next = l.talk(c)
 		l.mu.Lock()
 		l.c = nil
 		l.mu.Unlock()
 		l.node.tell(core.Lost{})
-		l.node.logf("link pool=%s code=%s", l.addr, code)
+		l.node.logf("link pool=%s code=%s", c.addr, code)
+		c.Close()
+	}
+	if c != nil {
 		c.Close()
-		time.Sleep(time.Until(at(now() + linkAgain)))
 	}
 }
 
-func (l *link) talk(c net.Conn) string {
+// dialLink connects to the worker pool, which is on the same machine, or returns nil.
+func dialLink(addr string) *wire {
+	d := net.Dialer{Deadline: at(now() + linkDial)}
+	c, err := d.Dial("tcp", addr)
+	if err != nil {
+		return nil
+	}
+	return &wire{c, addr}
+}
+
+// talk speaks on a connection until it ends. Where the address is another now, it connects there, takes leave here
+// and returns the new connection; as long as that fails, it stays.
+func (l *link) talk(c *wire) (code string, next *wire) {
 	buf, out := make([]byte, 32<<10), []byte(nil)
 	l.mu.Lock()
 	l.c = c
 	out = append(out, l.machine.Opened()...)
 	l.mu.Unlock()
+	again, leaveBy := 0.0, 0.0 // when to connect to the other address again, and how long the leave may take
 	for {
+		if next == nil && l.to() != c.addr && now() >= again {
+			again = now() + linkAgain
+			if next = dialLink(l.to()); next != nil {
+				leaveBy = now() + linkLeave
+				l.mu.Lock()
+				out = append(out, l.machine.Leave()...)
+				l.mu.Unlock()
+			}
+		}
 		if len(out) > 0 {
 			c.SetWriteDeadline(at(now() + linkWrite))
 			if _, err := c.Write(out); err != nil {
-				return "write"
+				return "write", next
 			}
 			out = out[:0]
 		}
-		c.SetReadDeadline(time.Time{})
+		c.SetReadDeadline(at(max(again, leaveBy)))
 		l.mu.Lock() // after the deadline was set: commands that come later set it anew
 		out = l.machine.Out(out)
+		left, moved := l.machine.Left(), next == nil && l.addr != c.addr
 		l.mu.Unlock()
-		if len(out) > 0 {
+		switch {
+		case next != nil && (left || now() >= leaveBy):
+			return "moved", next
+		case len(out) > 0 || moved && now() >= again:
 			continue
 		}
 		n, err := c.Read(buf)
@@ -108,11 +157,11 @@
 		out = append(out, reply...)
 		switch {
 		case l.node.ended():
-			return "end"
+			return "end", next
 		case bad != nil:
-			return "bad-notice"
+			return "bad-notice", next
 		case err != nil && !errors.Is(err, os.ErrDeadlineExceeded):
-			return "eof"
+			return "eof", next
 		}
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,10 +10,10 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
-	"whinrudder/internal/announce"
 	"whinrudder/internal/core"
 	"whinrudder/internal/front"
 	"whinrudder/internal/httpfront"
@@ -54,6 +54,10 @@
 	core *core.Core
 	link *link
 
+	reports reporter
+	mu      sync.Mutex // of what follows, which a reload changes
+	stopMs  float64
+
 	znode     *zk.Registration // nil unless the operator names an ensemble
 	listeners []net.Listener
 	conns     connTable
@@ -75,6 +79,8 @@
 	n.conns.most = cfg.Sockets - ownSockets
 	n.idle.Store(int64(cfg.Settings.Policy.KeepAlive))
 	n.taking.Store(true)
+	n.stopMs = cfg.StopMs
+	n.reports = reporter{addr: cfg.Announce, wake: make(chan struct{}, 1)}
 	n.link = &link{node: n, addr: cfg.Pool, machine: pool.New(cfg.Settings.Classes, cfg.Settings.Gauges)}
 	return n, nil
 }
@@ -82,9 +88,16 @@
 func (n *Node) logf(format string, args ...any) { n.log.printf(format, args...) }
 
 // limits keeps the process within what the configuration grants it.
-func (n *Node) limits() {
-	runtime.GOMAXPROCS(max(1, int(n.cfg.Cores)))
-	debug.SetMemoryLimit(int64(n.cfg.MemoryMB) << 20 * 3 / 4)
+func limits(cfg settings.Config) {
+	runtime.GOMAXPROCS(max(1, int(cfg.Cores)))
+	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
+}
+
+// stopAfter is how long the node has from the notice to leave to the stop.
+func (n *Node) stopAfter() float64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.stopMs
 }
 
 // Listen opens the listeners of all fronts and takes connections on them. Requests wait for Run.
@@ -114,17 +127,19 @@
 // Addr returns the address of a front that listens, in the order http, uwsgi.
 func (n *Node) Addr(front int) string { return n.listeners[front].Addr().String() }
 
-// Run serves until a signal or the end of ctx makes the node leave and all is answered.
-func (n *Node) Run(ctx context.Context, stop <-chan os.Signal) {
-	n.limits()
+// Run serves until a signal or the end of ctx makes the node leave and all is answered. At each signal of reload it
+// takes over what load then gives, see reload.go.
+func (n *Node) Run(ctx context.Context, stop, reload <-chan os.Signal, load Load) {
+	limits(n.cfg)
 	go n.link.run()
 	go n.announce()
+	go n.reloads(reload, load)
 	go func() {
 		select {
 		case <-stop:
 		case <-ctx.Done():
 		}
-		n.in <- core.Leave{StopAt: now() + n.cfg.StopMs}
+		n.in <- core.Leave{StopAt: now() + n.stopAfter()}
 	}()
 	n.loop()
 	close(n.over)
@@ -216,9 +231,10 @@
 		}
 	case core.Leaving:
 		n.taking.Store(false)
-		n.logf("drain stop_ms=%.0f", n.cfg.StopMs)
+		n.reports.now()
+		n.logf("drain stop_ms=%.0f", n.stopAfter())
 		if n.znode != nil {
-			n.znode.Leave(now() + n.cfg.StopMs/2)
+			n.znode.Leave(now() + n.stopAfter()/2)
 		}
 	case core.Deaf:
 		n.deafen()
@@ -233,23 +249,3 @@
 		l.Close()
 	}
 }
-
-// announce reports to the announce service until the node ends.
-func (n *Node) announce() {
-	var c net.Conn
-	for next := now(); ; next += announce.Every {
-		if c == nil {
-			c, _ = net.Dial("udp", n.cfg.Announce)
-		}
-		if c != nil {
-			c.SetWriteDeadline(at(now() + announce.Every))
-			// A report that is refused while the service is down is of no account: the next one follows.
-			c.Write(announce.Report(n.cfg.Name, n.taking.Load()))
-		}
-		select {
-		case <-n.over:
-			return
-		case <-time.After(time.Until(at(next + announce.Every))):
-		}
-	}
-}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"strings"
 
 	"github.com/valyala/fastjson"
 
@@ -31,7 +32,8 @@
 	in     []byte
 	serial uint64 // of the last notice read
 	fences int
-	fence  string          // tag of the poll that ends the past; empty when in step
+	fence  string          // tag of the poll whose answer is waited for; empty when in step
+	left   bool            // the answer to the last poll of a connection that another replaces has come
 	queue  []command       // not yet handed to a connection
 	sent   map[string]bool // starts handed to a connection whose end was not heard of
 	order  []string        // the same in order of sending, with some that are over
@@ -46,16 +48,39 @@
 // New returns the link of a node that starts. The names of the classes and of the gauges are in the order of
 // the settings.
 func New(classes, gauges []string) *Link {
-	return &Link{classes: classes, gauges: gauges, sent: map[string]bool{}, fence: "none yet"}
+	return &Link{classes: classes, gauges: gauges, sent: map[string]bool{}, fence: notBound}
 }
 
+// notBound stands in the place of a fence until the worker pool says that it is up.
+const notBound = "not bound"
+
 // Opened starts the talk on a new connection and returns the first bytes for it.
 func (l *Link) Opened() []byte {
 	l.in = l.in[:0]
-	l.fence = "none yet"
+	l.fence, l.left = notBound, false
 	return fmt.Appendf(nil, `{"msg":"bind","serial":%d}`+"\n", l.serial)
 }
 
+// Leave ends the talk on a connection that another will replace. It returns a last poll: its answer proves that the
+// worker pool has read all that was handed over, and commands wait for the next connection. On a link that was not
+// in step nothing is owed.
+func (l *Link) Leave() []byte {
+	if l.left = l.fence != ""; l.left {
+		return nil
+	}
+	return l.poll("leave")
+}
+
+// Left tells that the connection may be closed.
+func (l *Link) Left() bool { return l.left }
+
+// poll asks for an answer under a new tag, which is waited for.
+func (l *Link) poll(word string) []byte {
+	l.fences++
+	l.fence = word + strconv.Itoa(l.fences)
+	return fmt.Appendf(nil, `{"msg":"poll","cookie":"%s"}`+"\n", l.fence)
+}
+
 // Push queues a command of the core. Gauges and checks are worth asking for only on a link in step.
 func (l *Link) Push(o core.Output) {
 	switch o := o.(type) {
@@ -134,10 +159,8 @@
 	}
 	switch text("msg") {
 	case "bound":
-		l.fences++
-		l.fence = "fence" + strconv.Itoa(l.fences)
 		tell = append(tell, core.Bound{Cold: text("how") == "COLD", Age: v.GetFloat64("duration")})
-		reply = fmt.Appendf(nil, `{"msg":"poll","cookie":"%s"}`+"\n", l.fence)
+		reply = l.poll("fence")
 	case "finished":
 		call := text("call")
 		l.over(call)
@@ -152,7 +175,12 @@
 		}
 		tell = append(tell, core.Finished{ID: call, End: end, Took: v.GetFloat64("duration"), Result: result})
 	case "polled":
-		if l.fence != "" && text("cookie") == l.fence {
+		switch {
+		case text("cookie") != l.fence:
+		case strings.HasPrefix(l.fence, "leave"):
+			clear(l.sent) // all were read: what runs goes on, and its end will be told
+			l.left = true
+		default:
 			l.fence = ""
 			tell = append(tell, core.Synced{Unsure: l.unsure()})
 		}
--- a/internal/rehearse/player.go
+++ b/internal/rehearse/player.go
@@ -22,6 +22,10 @@
 //	close NAME                 the caller closes its connection
 //	log NAME CODE              the line that the connection left in the log
 //	announce < TEXT            waits for a report of that text
+//	reload [KEY=VALUE ...]     the pool and the announce service get new addresses, and the node reads the new file;
+//	                           what the pool says goes over the old link until the node has made the new one
+//	reload faulty              the node reads a file that is none
+//	reloaded CODE [kept=..]    what the node logged of it
 //	leave                      the notice to drain
 //	held N                     waits until the node has N requests in hand
 //	wait MS                    so many milliseconds pass
@@ -33,9 +37,11 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"whinrudder/internal/node"
@@ -69,6 +75,9 @@
 	opts     map[string]string
 	node     *node.Node
 	stop     chan os.Signal
+	hup      chan os.Signal
+	mu       sync.Mutex
+	file     string // the configuration, as the node would read it now
 	ended    chan struct{}
 	pool     *poolStandIn
 	reports  *reportStandIn
@@ -116,11 +125,8 @@
 	if p.reports, err = newReportStandIn(); err != nil {
 		return err
 	}
-	text := fmt.Sprintf(config, p.pool.l.Addr(), p.reports.c.LocalAddr())
-	for k, v := range p.opts {
-		text = strings.ReplaceAll(text, "$"+k, v)
-	}
-	cfg, err := settings.ParseConfig([]byte(text))
+	p.write()
+	cfg, err := settings.ParseConfig([]byte(p.file))
 	if err != nil {
 		return err
 	}
@@ -134,14 +140,53 @@
 	if err = p.node.Listen(); err != nil {
 		return err
 	}
-	p.stop, p.ended = make(chan os.Signal, 1), make(chan struct{})
+	p.stop, p.hup, p.ended = make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan struct{})
 	go func() {
-		p.node.Run(context.Background(), p.stop)
+		p.node.Run(context.Background(), p.stop, p.hup, func() (settings.Config, settings.Operator, error) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			cfg, err := settings.ParseConfig([]byte(p.file))
+			return cfg, op, err
+		})
 		close(p.ended)
 	}()
 	return nil
 }
 
+// write puts the present addresses and options into the file.
+func (p *player) write() {
+	text := fmt.Sprintf(config, p.pool.l.Addr(), p.reports.c.LocalAddr())
+	for k, v := range p.opts {
+		text = strings.ReplaceAll(text, "$"+k, v)
+	}
+	p.mu.Lock()
+	p.file = text
+	p.mu.Unlock()
+}
+
+// reload changes the file and tells the node.
+func (p *player) reload(args []string) (err error) {
+	if slices.Equal(args, []string{"faulty"}) {
+		p.mu.Lock()
+		p.file = "{"
+		p.mu.Unlock()
+	} else {
+		for _, a := range args {
+			k, v, _ := strings.Cut(a, "=")
+			p.opts[k] = v
+		}
+		if err = p.pool.listen(); err == nil {
+			err = p.reports.listen()
+		}
+		if err != nil {
+			return err
+		}
+		p.write()
+	}
+	p.hup <- syscall.SIGHUP
+	return nil
+}
+
 // step carries out a line and returns it as it really went.
 func (p *player) step(line string) (string, error) {
 	word, rest, _ := strings.Cut(line, " ")
@@ -198,6 +243,10 @@
 		ms, err := strconv.Atoi(rest)
 		time.Sleep(time.Duration(ms) * time.Millisecond)
 		return line, err
+	case "reload":
+		return line, p.reload(strings.Fields(rest))
+	case "reloaded":
+		return "reloaded " + p.log.reload(), nil
 	case "leave":
 		p.stop <- os.Interrupt
 		return line, nil
@@ -268,6 +317,7 @@
 type logBook struct {
 	mu    sync.Mutex
 	codes map[string][]string
+	loads []string // of the reloads
 	more  chan struct{}
 }
 
@@ -282,9 +332,18 @@
 		k, v, _ := strings.Cut(pair, "=")
 		f[k] = v
 	}
-	if f["peer"] != "" {
+	_, _, reload := strings.Cut(string(line), " reload ")
+	if f["peer"] != "" || reload {
 		b.mu.Lock()
-		b.codes[f["peer"]] = append(b.codes[f["peer"]], f["code"])
+		if reload {
+			text := f["code"]
+			if f["kept"] != "" {
+				text += " kept=" + f["kept"]
+			}
+			b.loads = append(b.loads, text)
+		} else {
+			b.codes[f["peer"]] = append(b.codes[f["peer"]], f["code"])
+		}
 		b.mu.Unlock()
 		select {
 		case b.more <- struct{}{}:
@@ -296,13 +355,28 @@
 
 // code waits for the line of a connection.
 func (b *logBook) code(peer string) string {
+	return b.wait(func() string { return strings.Join(b.codes[peer], " ") })
+}
+
+// reload waits for the line of the next reload.
+func (b *logBook) reload() string {
+	return b.wait(func() (text string) {
+		if len(b.loads) > 0 {
+			text, b.loads = b.loads[0], b.loads[1:]
+		}
+		return text
+	})
+}
+
+// wait waits until there is something to tell.
+func (b *logBook) wait(tell func() string) string {
 	late := time.After(patience)
 	for {
 		b.mu.Lock()
-		codes := b.codes[peer]
+		text := tell()
 		b.mu.Unlock()
-		if len(codes) > 0 {
-			return strings.Join(codes, " ")
+		if text != "" {
+			return text
 		}
 		select {
 		case <-b.more:
--- a/internal/rehearse/standin.go
+++ b/internal/rehearse/standin.go
@@ -11,24 +11,32 @@
 	"time"
 )
 
-// poolStandIn is a toy worker pool. It does no work: the exchange says what it tells. Polls for gauges are
-// answered by itself, as they come at times of the node's own; its cores are always busy, so that the module's limit
+// poolStandIn is a toy worker pool. It does no work: the exchange says what it tells. Polls are answered by
+// itself but for the fences, as they come at times of the node's own; its cores are always busy, so that the module's limit
 // does not grow with the time that an exchange takes.
 type poolStandIn struct {
 	l     net.Listener
 	lines chan string
 	first []string // lines that were read ahead
-	links chan net.Conn
 	mu    sync.Mutex
 	c     net.Conn
 }
 
 func newPoolStandIn() (*poolStandIn, error) {
+	s := &poolStandIn{lines: make(chan string, 1024)}
+	return s, s.listen()
+}
+
+// listen takes links at a new address, and no more at the old one. An open link goes on.
+func (s *poolStandIn) listen() error {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, err
+		return err
+	}
+	if s.l != nil {
+		s.l.Close()
 	}
-	s := &poolStandIn{l: l, lines: make(chan string, 1024), links: make(chan net.Conn, 8)}
+	s.l = l
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -38,14 +46,12 @@
 			s.mu.Lock()
 			s.c = c
 			s.mu.Unlock()
-			s.read(c)
+			go s.read(c)
 		}
 	}()
-	return s, nil
+	return nil
 }
 
-const gaugePoll = `{"msg":"poll","cookie":"gauges"}`
-
 func (s *poolStandIn) read(c net.Conn) {
 	for r := bufio.NewReader(c); ; {
 		line, err := r.ReadString('\n')
@@ -54,8 +60,8 @@
 			return
 		}
 		line = strings.TrimSuffix(line, "\n")
-		if line == gaugePoll {
-			s.write(`{"msg":"polled","cookie":"gauges","stats":[1,1,0.1,4]}`)
+		if cookie, ok := strings.CutPrefix(line, `{"msg":"poll","cookie":"`); ok && !strings.HasPrefix(cookie, "fence") {
+			fmt.Fprintf(c, `{"msg":"polled","cookie":"%s,"stats":[1,1,0.1,4]}`+"\n", strings.TrimSuffix(cookie, "}"))
 			continue
 		}
 		s.lines <- line
@@ -136,8 +142,21 @@
 }
 
 func newReportStandIn() (*reportStandIn, error) {
+	s := &reportStandIn{}
+	return s, s.listen()
+}
+
+// listen takes reports at a new address, and no more at the old one.
+func (s *reportStandIn) listen() error {
 	c, err := net.ListenPacket("udp", "127.0.0.1:0")
-	return &reportStandIn{c: c}, err
+	if err != nil {
+		return err
+	}
+	if s.c != nil {
+		s.c.Close()
+	}
+	s.c, s.last = c, ""
+	return nil
 }
 
 // wait reads reports until one has the text, and returns the last one read.
