Free the room of writes that a broken link may have lost, and doubt only the unread

Checked: the log of run code=doubt against the books at each lease. Of seven new doubts at n1's first two breaks five never ended. Ruled out: notices lost (serials are replayed), callers that reset (their runs end with STOPPED). At fault: core.synced left a write in doubt running, and once failed at its due time nothing ever ended it in the module; pool.Link kept every start until its end, so each break put all runs in doubt. Now a command is in doubt only until a later poll is answered on the same connection. A write in doubt is over for the module at once and open for its caller until word comes or it falls due; a read that nobody waits for is stopped, not started again; stops and checks that may be lost are asked for again.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -88,7 +88,7 @@
 		Age  float64
 	}
 	// Synced tells that the link to the worker pool is in step: all notices of the past have been read. Unsure
-	// names the runs whose start was handed to a link that broke, and of which nothing was heard since.
+	// names the runs whose start was handed to a link that broke and may not have been read there.
 	Synced struct{ Unsure []string }
 	// Lost tells that the link to the worker pool broke. Runs continue.
 	Lost struct{}
@@ -187,6 +187,15 @@
 	open    bool // an answer is owed
 	running bool // a run was started and is not over
 	queued  bool // and its start waits for the link to the worker pool
+	doubt   bool // it may never have been started: the module counts on it no more, but word may come
+}
+
+// latest is when the core itself fails a request that nobody has answered.
+func (r *request) latest() float64 {
+	if r.doubt {
+		return r.Due
+	}
+	return r.Due + backstop
 }
 
 type wake struct {
@@ -289,7 +298,7 @@
 	}
 	for _, r := range c.reqs {
 		if r.open {
-			sooner(r.Due + backstop)
+			sooner(r.latest())
 		}
 	}
 	if c.leaving && !c.ended {
@@ -345,9 +354,9 @@
 	}
 }
 
-// drop forgets a request of which nothing more can come.
+// drop forgets a request of which nothing more can come, or is waited for.
 func (c *Core) drop(r *request) {
-	if !r.open && !r.running && c.reqs[r.ID] == r {
+	if !r.open && (!r.running || r.doubt) && c.reqs[r.ID] == r {
 		delete(c.reqs, r.ID)
 		c.recent.add(r.ID)
 	}
@@ -442,20 +451,28 @@
 	c.event(a)
 }
 
-// synced starts again what may be started again once the notices of a broken link are all read. A write that was
-// handed to the broken link may run or have run unseen, even if it ended after the fence: it is not started
-// again, and unless its end is heard of, the module fails it when it falls due.
+// synced starts again what may be started again once the notices of a broken link are all read. A write that the
+// broken link may have lost may also run or have run unseen, even if it ended after the fence: it is not started
+// again, and unless its end is heard of, it is failed when it falls due. Most of these never ran, so the module is
+// told at once that it is over: one that was counted on would fill a place in the limit for ever.
 func (c *Core) synced(unsure []string) {
 	for _, s := range unsure {
 		r := c.reqs[s]
-		if r == nil || !r.running {
+		if r == nil || !r.running || r.doubt {
 			continue
 		}
-		if c.settings.Classes[r.Class].Repeat != whinrudder.Safe {
-			c.logf("run id=%s code=doubt", s)
+		if r.open && c.settings.Classes[r.Class].Repeat == whinrudder.Safe {
+			c.do(Spawn{r.ID, r.Class, r.Body})
 			continue
 		}
-		c.do(Spawn{r.ID, r.Class, r.Body})
+		if r.open {
+			c.logf("run id=%s code=doubt", s)
+		} else if c.settings.Classes[r.Class].Repeat == whinrudder.Safe {
+			c.do(Suspend{r.ID}) // nobody waits for it
+		}
+		r.doubt = true
+		c.event(whinrudder.Ended{ID: id(r.ID), Code: whinrudder.Error})
+		c.drop(r)
 	}
 	for _, s := range c.queue {
 		if r := c.reqs[s]; r != nil && r.queued {
@@ -622,7 +639,11 @@
 func (c *Core) guard() {
 	last := c.leaving && c.now >= c.stopAt-lastAt
 	for _, r := range c.reqs {
-		if r.open && (last || c.now >= r.Due+backstop) {
+		switch {
+		case !r.open || !last && c.now < r.latest():
+		case r.doubt:
+			c.fail(r)
+		default:
 			c.logf("request id=%s code=left-open", r.ID)
 			c.fail(r)
 		}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -7,6 +7,7 @@
 	"encoding/base64"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -32,23 +33,25 @@
 	in     []byte
 	serial uint64 // of the last notice read
 	fences int
-	fence  string          // tag of the poll whose answer is waited for; empty when in step
-	left   bool            // the answer to the last poll of a connection that another replaces has come
-	queue  []command       // not yet handed to a connection
-	sent   map[string]bool // starts handed to a connection whose end was not heard of
-	order  []string        // the same in order of sending, with some that are over
+	fence  string    // tag of the poll whose answer is waited for; empty when in step
+	left   bool      // the answer to the last poll of a connection that another replaces has come
+	polls  uint64    // gauges asked for so far
+	queue  []command // not yet handed to a connection
+	sent   []command // handed to the present connection, in order, and not known to have been read
 }
 
-// command is a line for the worker pool; spawn is the id if it starts a run.
+// command is a line for the worker pool; spawn is the id if it starts a run. Once the answer to a poll of a higher
+// number has come on the same connection, the command is known to have been read.
 type command struct {
 	line  []byte
 	spawn string
+	after uint64
 }
 
 // New returns the link of a node that starts. The names of the classes and of the gauges are in the order of
 // the settings.
 func New(classes, gauges []string) *Link {
-	return &Link{classes: classes, gauges: gauges, sent: map[string]bool{}, fence: notBound}
+	return &Link{classes: classes, gauges: gauges, fence: notBound}
 }
 
 // notBound stands in the place of a fence until the worker pool says that it is up.
@@ -90,30 +93,30 @@
 		b = append(b, l.classes[o.Class]...)
 		b = append(b, `","blob":"`...)
 		b = base64.StdEncoding.AppendEncode(b, o.Body)
-		l.queue = append(l.queue, command{append(b, "\"}\n"...), o.ID})
+		l.queue = append(l.queue, command{append(b, "\"}\n"...), o.ID, l.polls})
 	case core.Suspend:
-		l.queue = append(l.queue, command{line: fmt.Appendf(nil, `{"msg":"suspend","call":"%s"}`+"\n", o.ID)})
+		b := fmt.Appendf(nil, `{"msg":"suspend","call":"%s"}`+"\n", o.ID)
+		l.queue = append(l.queue, command{line: b, after: l.polls})
 	case core.Poll:
-		l.queue = append(l.queue, command{line: []byte(`{"msg":"poll","cookie":"gauges"}` + "\n")})
+		l.polls++
+		b := fmt.Appendf(nil, `{"msg":"poll","cookie":"gauges%d"}`+"\n", l.polls)
+		l.queue = append(l.queue, command{line: b, after: l.polls - 1})
 	case core.Verify:
-		l.queue = append(l.queue, command{line: fmt.Appendf(nil, `{"msg":"verify","cookie":"%s"}`+"\n", o.Tag)})
+		b := fmt.Appendf(nil, `{"msg":"verify","cookie":"%s"}`+"\n", o.Tag)
+		l.queue = append(l.queue, command{line: b, after: l.polls})
 	}
 }
 
-// Out appends the commands that may go out now. From here on they count as handed to the connection: their
-// starts are in doubt if it breaks, even if no byte arrived.
+// Out appends the commands that may go out now. From here on they count as handed to the connection: they are in
+// doubt if it breaks, even if no byte arrived, until the worker pool answers a later poll.
 func (l *Link) Out(to []byte) []byte {
 	if l.fence != "" {
 		return to
 	}
 	for _, c := range l.queue {
 		to = append(to, c.line...)
-		if c.spawn != "" && !l.sent[c.spawn] {
-			l.sent[c.spawn] = true
-			l.order = append(l.order, c.spawn)
-		}
 	}
-	l.queue = l.queue[:0]
+	l.sent, l.queue = append(l.sent, l.queue...), l.queue[:0]
 	return to
 }
 
@@ -163,7 +166,7 @@
 		reply = l.poll("fence")
 	case "finished":
 		call := text("call")
-		l.over(call)
+		l.read(call)
 		end, ok := ends[text("how")]
 		if !ok {
 			end = core.EndError
@@ -175,42 +178,50 @@
 		}
 		tell = append(tell, core.Finished{ID: call, End: end, Took: v.GetFloat64("duration"), Result: result})
 	case "polled":
+		cookie := text("cookie")
+		number, gauges := strings.CutPrefix(cookie, "gauges")
 		switch {
-		case text("cookie") != l.fence:
+		case gauges:
+			n, _ := strconv.ParseUint(number, 10, 64)
+			l.sent = slices.DeleteFunc(l.sent, func(c command) bool { return c.after < n })
+		case cookie != l.fence:
 		case strings.HasPrefix(l.fence, "leave"):
-			clear(l.sent) // all were read: what runs goes on, and its end will be told
-			l.left = true
+			l.sent, l.left = nil, true // all were read: what runs goes on, and its end will be told
 		default:
 			l.fence = ""
-			tell = append(tell, core.Synced{Unsure: l.unsure()})
+			tell = append(tell, core.Synced{Unsure: l.again()})
 		}
 		tell = append(tell, core.Gauged{Gauges: l.stats(v.GetArray("stats"))})
 	case "verified":
 		tell = append(tell, core.Verified{Tag: text("cookie"), OK: text("how") == "OK"})
 	case "unknown":
 		if text("how") == "spawn" {
-			l.over(text("call"))
+			l.read(text("call"))
 			tell = append(tell, core.NotStarted{ID: text("call")})
 		}
 	}
 	return tell, reply
 }
 
-func (l *Link) over(id string) {
-	delete(l.sent, id)
-	if len(l.order) > 64 && len(l.order) > 2*len(l.sent) {
-		l.order = l.unsure()
-	}
+// read notes that the start of a run is known to have been read.
+func (l *Link) read(id string) {
+	l.sent = slices.DeleteFunc(l.sent, func(c command) bool { return c.spawn == id })
 }
 
-// unsure lists the starts whose end was not heard of.
-func (l *Link) unsure() (ids []string) {
-	for _, id := range l.order {
-		if l.sent[id] {
-			ids = append(ids, id)
+// again lists the starts that a broken connection may have lost, for the core to decide on. Stops and checks that
+// it may have lost are asked for again before all that waits: twice they do no harm.
+func (l *Link) again() (starts []string) {
+	var others []command
+	for _, c := range l.sent {
+		switch {
+		case c.spawn != "":
+			starts = append(starts, c.spawn)
+		case !bytes.HasPrefix(c.line, []byte(`{"msg":"poll"`)):
+			others = append(others, c)
 		}
 	}
-	return ids
+	l.sent, l.queue = nil, append(others, l.queue...)
+	return starts
 }
 
 // stats puts the gauges in their places; those that are not told are taken as not measured.
--- a/internal/rehearse/player.go
+++ b/internal/rehearse/player.go
@@ -11,7 +11,9 @@
 //	pool > LINE                the worker pool says LINE
 //	pool < LINE                the next line that the node says to it, polls for gauges apart
 //	pool unordered N           the next N lines may come in any order; they are then told in order of the alphabet
-//	pool drop                  the worker pool closes the link
+//	pool drop                  the worker pool ends the link
+//	pool mute                  the worker pool answers no more polls, so that no command is known to have been read
+//	pool polled                waits until the worker pool has answered a poll that came after this step
 //	call NAME CLASS ID k=v ..  caller NAME sends a request: wait, kb, rank, from, key, body
 //	                           (a NAME.http or NAME.uwsgi speaks that protocol in any play)
 //	check NAME [real]          caller NAME sends a health check
--- a/internal/rehearse/standin.go
+++ b/internal/rehearse/standin.go
@@ -20,10 +20,12 @@
 	first []string // lines that were read ahead
 	mu    sync.Mutex
 	c     net.Conn
+	mute  bool
+	polls chan bool // an answer to a poll was given
 }
 
 func newPoolStandIn() (*poolStandIn, error) {
-	s := &poolStandIn{lines: make(chan string, 1024)}
+	s := &poolStandIn{lines: make(chan string, 1024), polls: make(chan bool, 1)}
 	return s, s.listen()
 }
 
@@ -61,7 +63,15 @@
 		}
 		line = strings.TrimSuffix(line, "\n")
 		if cookie, ok := strings.CutPrefix(line, `{"msg":"poll","cookie":"`); ok && !strings.HasPrefix(cookie, "fence") {
-			fmt.Fprintf(c, `{"msg":"polled","cookie":"%s,"stats":[1,1,0.1,4]}`+"\n", strings.TrimSuffix(cookie, "}"))
+			s.mu.Lock()
+			if !s.mute {
+				fmt.Fprintf(c, `{"msg":"polled","cookie":"%s,"stats":[1,1,0.1,4]}`+"\n", strings.TrimSuffix(cookie, "}"))
+				select {
+				case s.polls <- true:
+				default:
+				}
+			}
+			s.mu.Unlock()
 			continue
 		}
 		s.lines <- line
@@ -108,9 +118,23 @@
 		s.first = append(s.first, lines...)
 		return line, err
 	case "drop":
+		// Half, so that what was said arrives before the end; the node closes the rest.
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.c.Close()
+		return line, s.c.(*net.TCPConn).CloseWrite()
+	case "mute":
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.mute = true
+		return line, nil
+	case "polled":
+		for range 2 { // the first may be of a poll that came before this step
+			select {
+			case <-s.polls:
+			case <-time.After(patience):
+				return "pool polled never", nil
+			}
+		}
 		return line, nil
 	case "up":
 		bind := s.next()
