Offer callers a quarter of the free room beside their share of the limit

Checked: the module's books at each lease. Eight callers share a limit of 23: credits of 2 to 3 for demands that come unevenly, so the limit was rarely full, and only a full limit grows. Ruled out: memory, the crowd (57) and the room that the aims leave (44), all far off; and false runs, which had only propped the limit up. At fault: Policy.credit, the plain share. Now a caller also hears a quarter of what is free, at most the room; a full server still says its share, falling with the square of what is in hand. Test: TestCreditOffersAPartOfTheFreeRoom.

--- a/policy.go
+++ b/policy.go
@@ -30,6 +30,7 @@
 	busyShare    = 0.8   // cores less busy than this have room: the pressure counts disk waits too
 	sickPart     = 3.0   // a sick server hears less than its cores over this could do at their base cost
 	sickFor      = 12000 // a sick server asks for no traffic for this long: lists follow in seconds
+	freeShare    = 0.25  // part of the free room that each caller may use beside its share
 	callerSpan   = 2000  // a caller heard of within this time takes part in the split of the credit
 	closeLeast   = 10.0  // hosts close no connection that was idle for less
 	connWorth    = 0.2   // a new connection costs as much as an idle one kept for this part of KeepAlive
@@ -892,21 +893,24 @@
 	}
 }
 
-// credit falls with the square of what is in hand over the room, so that a line is gone as soon as it came.
+// credit is a caller's share of the room and a part of what is free of it: the demands of few callers come unevenly,
+// and shares alone would turn away at the callers what idle cores could do. Of a full server the share is left, and
+// it falls with the square of what is in hand over the room, so that a line is gone as soon as it came.
 func (p *Policy) credit() float64 {
 	callers := max(1, float64(p.s.Callers)/2)
 	if p.sq > 0 {
 		callers = p.sum * p.sum / p.sq
 	}
 	room := min(p.limit*p.warm(), p.feasible())
-	fullness := float64(len(p.live)+len(p.hold)) / max(1, room)
+	inHand := float64(len(p.live) + len(p.hold))
+	fullness := inHand / max(1, room)
 	switch p.s.Say {
 	case SayShare:
 		return min(1, 1/max(1, fullness))
 	case SayThreshold:
 		return max(0, 1-1/max(1, fullness))
 	}
-	return room / callers / max(1, fullness*fullness)
+	return min(room, room/callers+freeShare*max(0, room-inHand)) / max(1, fullness*fullness)
 }
 
 // feasible is how many requests of usual cost can be in hand and still be answered within half of their aim.
--- a/policy_test.go
+++ b/policy_test.go
@@ -418,6 +418,21 @@
 	}
 }
 
+// Shares alone would turn away at the callers what idle cores could do: demands of few callers come unevenly.
+func TestCreditOffersAPartOfTheFreeRoom(t *testing.T) {
+	for callers, want := range map[int]float64{1: 4, 2: 4.0/2 + freeShare*2} {
+		s := newServer(t, nil)
+		for n := range 2 {
+			a := arrival(n, 0, s.now)
+			a.Caller = n % callers
+			s.step(a)
+		}
+		if got := s.p.credit(); got != want {
+			t.Errorf("credit %v with a limit of 4 and 2 of %d callers running, want %v", got, callers, want)
+		}
+	}
+}
+
 func TestOtherReadingsOfTheFreeValue(t *testing.T) {
 	for say, want := range map[Say][2]float64{SayShare: {1, 0.5}, SayThreshold: {0, 0.5}} {
 		s := newServer(t, func(s *Settings) { s.Say = say })
