--- a/policy.go
+++ b/policy.go
@@ -893,9 +893,9 @@
 	}
 }
 
-// credit is a caller's share of the room and a part of what is free of it: the demands of few callers come unevenly,
-// and shares alone would turn away at the callers what idle cores could do. Of a full server the share is left, and
-// it falls with the square of what is in hand over the room, so that a line is gone as soon as it came.
+// credit is a caller's share of the room and a part of what is free of it: the demands of few callers come
+// unevenly, and shares alone would turn away at the callers what idle cores could do. Of a full server only
+// the share is left; it falls with the square of what is in hand over the room, so that a line soon goes.
 func (p *Policy) credit() float64 {
 	callers := max(1, float64(p.s.Callers)/2)
 	if p.sq > 0 {
