Stay open for most of the drain's grace where the other nodes would be too full

Checked: the books at each lease of the draining node; what reaches it within 2 s of the notice may run and did run. Ruled out: the link (moves without a loss), refusals by the node (none before 2 s). At fault: Policy.Step on Notice and Policy.advertise; Core.dress closed each connection after its answer, so that callers paid for a new one with each request. Now a server that is needed (pressure times servers over the others above 0.8) keeps its credit, health and connections for nine tenths of the grace, or half of the time to the stop; else it leaves at once as before. Tests: TestLeavingServerThatIsNeededStaysOpen, TestLeavingNodeKeepsConnectionsWhileItIsGood.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -329,7 +329,8 @@
 
 // dress adds to an answer what all answers carry.
 func (c *Core) dress(a Answer) Answer {
-	a.Load, a.Close, a.WriteBy = c.load, c.leaving, c.now+writeWait
+	// A node that leaves keeps connections for as long as the module calls it good: new ones cost the cores work.
+	a.Load, a.Close, a.WriteBy = c.load, c.leaving && !c.health.Good, c.now+writeWait
 	return a
 }
 
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -45,3 +45,22 @@
 		}
 	}
 }
+
+// A node that leaves ends its connections only once the module calls it no good: until then it serves in full, and
+// callers would pay for a new connection with each request.
+func TestLeavingNodeKeepsConnectionsWhileItIsGood(t *testing.T) {
+	c, err := New(whinrudder.Settings{Cores: 1, Memory: 1e6, Tick: 2, Halt: whinrudder.HaltAbort, Say: whinrudder.SayNothing,
+		Rules:   whinrudder.Rules{FallMultiple: 8},
+		Classes: []whinrudder.Class{{Aim: 1, Deadline: 2, Repeat: whinrudder.Safe}}}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Step(1000, []Input{Bound{}, Synced{}, Leave{StopAt: 5000}})
+	for good, outcome := range map[bool]Outcome{true: Served, false: Failed} {
+		c.health.Good = good // the module here is not needed, and calls itself bad at once
+		want := []Output{Reply{sink("a"), Answer{Outcome: outcome, Load: -1, WriteBy: 1001 + writeWait, Close: !good}}}
+		if diff := cmp.Diff(want, append([]Output{}, c.Step(1001, []Input{Checked{false, sink("a")}})...)); diff != "" {
+			t.Error(diff)
+		}
+	}
+}
--- a/policy.go
+++ b/policy.go
@@ -31,6 +31,7 @@
 	sickPart     = 3.0   // a sick server hears less than its cores over this could do at their base cost
 	sickFor      = 12000 // a sick server asks for no traffic for this long: lists follow in seconds
 	freeShare    = 0.25  // part of the free room that each caller may use beside its share
+	closeShare   = 0.9   // part of the drain's grace for which a leaving server that is needed stays open
 	callerSpan   = 2000  // a caller heard of within this time takes part in the split of the credit
 	closeLeast   = 10.0  // hosts close no connection that was idle for less
 	connWorth    = 0.2   // a new connection costs as much as an idle one kept for this part of KeepAlive
@@ -167,6 +168,8 @@
 	sickTo  float64 // checks fail until then
 	sick    bool
 	leaving bool
+	closed  bool // it leaves and asks for no more traffic
+	closeAt float64
 	notice  float64
 	stopAt  float64
 }
@@ -239,7 +242,11 @@
 		case Notice:
 			if !p.leaving {
 				p.leaving, p.notice, p.stopAt = true, now, e.StopAt
-				p.do(Health{Stored: true, Good: false})
+				p.closeAt = now
+				if p.needed() {
+					p.closeAt += min(closeShare*p.s.Rules.DrainGrace, (p.stopAt-now)/2)
+					p.do(Wake{At: p.closeAt})
+				}
 				p.do(Wake{At: p.stopAt - 3*p.s.Tick})
 			}
 		case Timer:
@@ -754,6 +761,10 @@
 // not fail checks, or its list would empty: its servers still read more than a sick one does.
 func (p *Policy) health() {
 	if p.leaving {
+		if !p.closed && p.now >= p.closeAt {
+			p.closed = true
+			p.do(Health{Stored: true, Good: false})
+		}
 		return
 	}
 	if !p.sick && p.unread > p.aimMost && p.press*p.pace < p.cores/sickPart {
@@ -766,6 +777,12 @@
 	}
 }
 
+// needed tells whether the other servers would be too full without this one. Callers hear of its successor
+// seconds late, so one that leaves stays open for most of its grace then.
+func (p *Policy) needed() bool {
+	return p.press*float64(p.s.Servers) > busyShare*float64(p.s.Servers-1)
+}
+
 func (p *Policy) stopping() bool { return p.leaving && p.now >= p.stopAt-3*p.s.Tick }
 
 // admit starts the best of the hold within the limit and refuses at once what can't be answered in time.
@@ -884,7 +901,7 @@
 		return
 	}
 	v := 0.0
-	if !p.leaving {
+	if !p.closed {
 		v = p.credit()
 	}
 	if math.Abs(v-p.said) > 0.05*max(p.said, 0.5) || (v == 0) != (p.said == 0) {
--- a/policy_test.go
+++ b/policy_test.go
@@ -380,6 +380,24 @@
 	}
 }
 
+// Without it the other servers would be too full, and callers hear of its successor seconds late.
+func TestLeavingServerThatIsNeededStaysOpen(t *testing.T) {
+	s := newServer(t, nil)
+	s.p.press = 0.7 // of four servers: 0.93 of what the other three can do
+	if got := s.step(Notice{StopAt: s.now + 3500}); len(find[Health](got))+len(find[Advertise](got)) != 0 {
+		t.Fatalf("want no word at the notice, got %v", got)
+	}
+	s.after(1400, arrival(1, 0, s.now+1400))
+	if v := s.p.said; v <= 0 {
+		t.Fatalf("credit %v within the grace, want some", v)
+	}
+	got := s.after(350) // half of the time to the stop: sooner than nine tenths of the grace
+	h, v := find[Health](got), find[Advertise](got)
+	if len(h) != 1 || h[0].Good || len(v) != 1 || v[0].Value != 0 {
+		t.Fatalf("want health bad and no credit near the end of the grace, got %v", got)
+	}
+}
+
 func TestMemoryIsCheckedBeforeTaking(t *testing.T) {
 	s := newServer(t, func(s *Settings) { s.Memory = 400 }) // two running requests of 160 KB fit
 	ran := 0
