Give the place of a resting connection to a newcomer at the socket limit; end silent ones

Ruled out: a leak (the number falls with the keep-alive), the backlog of the listener (connections were accepted, then closed). At fault: connTable.add closed the newcomer whoever held the room; conn.deadline let a connection that never spoke rest for the keep-alive; a part message had 5 s, where 3 s from connecting are owed. Now a full table gives the place of the connection that has been silent longest, or rested longest, to the newcomer, never that of one with a request in hand or one that may have a request on its way (100 ms silent, 500 ms at rest); the first whole message is due 2 s after accept, a later one 2 s after its first byte.

--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -12,8 +12,19 @@
 	"whinrudder/internal/front"
 )
 
-// partFor is how long a message may take from its first byte to its last, in milliseconds.
-const partFor = 5000
+// firstFor is how long a connection has from its accept to its first whole message, and partFor how long a later
+// message may take from its first byte to its last, in milliseconds. Peers send a message in one go.
+const (
+	firstFor = 2000
+	partFor  = 2000
+)
+
+// At the limit of sockets a connection that has said nothing for youngFor, or nothing more for restFor, gives way
+// to a new one, in milliseconds. A shorter silence may be that of a request on its way.
+const (
+	youngFor = 100
+	restFor  = 500
+)
 
 // After a fault was told, so long and so many bytes are read on.
 const (
@@ -62,6 +73,8 @@
 	last   bool    // the connection ends after the answer
 	since  float64 // when the last message ended, or the first byte of a part came
 	out    []byte
+
+	place place // of the table
 }
 
 // Deliver leaves an answer for the connection. It is called by the core's goroutine and does not wait.
@@ -101,6 +114,9 @@
 	k.since = now()
 	for {
 		k.c.SetReadDeadline(k.deadline())
+		if k.node.conns.given(k) {
+			return "room"
+		}
 		// The mailbox is looked at after the deadline was set: an answer that comes later sets it anew.
 		if a := k.take(); a != nil {
 			if code := k.answer(*a); code != "" {
@@ -118,7 +134,7 @@
 		}
 		n, err := k.c.Read(buf)
 		if n > 0 {
-			if !k.busy() && k.parser.Buffered() == 0 {
+			if !k.busy() && k.parser.Buffered() == 0 && k.served > 0 {
 				k.since = now()
 			}
 			k.parser.Feed(buf[:n])
@@ -131,8 +147,11 @@
 		case err == nil:
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			if d := k.deadline(); !d.IsZero() && !time.Now().Before(d) {
-				if k.parser.Buffered() > 0 {
+				switch {
+				case k.parser.Buffered() > 0:
 					return "slow"
+				case k.served == 0:
+					return "silent"
 				}
 				return "idle"
 			}
@@ -157,6 +176,8 @@
 	switch {
 	case k.busy():
 		return time.Time{}
+	case k.served == 0:
+		return at(k.since + firstFor)
 	case k.parser.Buffered() > 0:
 		return at(k.since + partFor)
 	}
@@ -166,11 +187,15 @@
 // message hands a message to the core.
 func (k *conn) message(m front.Message) string {
 	if m.Fault != nil {
+		k.node.conns.rest(k, place{})
 		if k.write(front.AppendFault(k.out[:0], m.Fault), now()+lingerFor) == nil {
 			k.linger()
 		}
 		return m.Fault.Code
 	}
+	if !k.node.conns.work(k) {
+		return "room"
+	}
 	k.last = m.Last
 	if m.Request == nil {
 		k.check = true
@@ -196,6 +221,7 @@
 	}
 	k.served++
 	k.since = now()
+	k.node.conns.rest(k, place{spoke: true, since: k.since})
 	switch {
 	case a.Outcome == core.Doubled:
 		return "twice-id"
@@ -212,6 +238,9 @@
 		c.CloseWrite()
 	}
 	k.c.SetReadDeadline(at(now() + lingerFor))
+	if k.node.conns.given(k) {
+		return
+	}
 	io.CopyN(io.Discard, k.c, lingerMost)
 }
 
@@ -221,26 +250,82 @@
 	return err
 }
 
+// place is what the table knows of a connection.
+type place struct {
+	busy  bool    // a message is in hand
+	given bool    // it was given to another connection
+	spoke bool    // it has had an answer that was no fault
+	since float64 // and when, or when it was accepted
+}
+
 // connTable holds the connections of callers, within the limit of sockets.
 type connTable struct {
 	mu   sync.Mutex
 	most int
 	all  map[*conn]bool
+	gone sync.Cond // one was removed
 }
 
+// add takes a new connection into the table. If that is full, one that rests gives its place, and add waits until it
+// has ended; if all are at work, there is none.
 func (t *connTable) add(k *conn) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.all == nil {
-		t.all = map[*conn]bool{}
+		t.all, t.gone.L = map[*conn]bool{}, &t.mu
 	}
-	if len(t.all) >= t.most {
-		return false
+	k.place.since = now()
+	for len(t.all) >= t.most {
+		v := t.resting(k.place.since)
+		if v == nil {
+			return false
+		}
+		v.place.given = true
+		v.c.SetReadDeadline(past)
+		t.gone.Wait()
 	}
 	t.all[k] = true
 	return true
 }
 
+// resting returns the connection that has been silent longest since its accept, or else the one that has rested
+// longest since its last answer, or nil.
+func (t *connTable) resting(now float64) (found *conn) {
+	for k := range t.all {
+		p := k.place
+		switch {
+		case p.busy || p.given, !p.spoke && now-p.since < youngFor, p.spoke && now-p.since < restFor:
+		case found == nil || !p.spoke && found.place.spoke,
+			p.spoke == found.place.spoke && p.since < found.place.since:
+			found = k
+		}
+	}
+	return found
+}
+
+// work notes that a connection has a message in hand. It tells false if its place was given away before.
+func (t *connTable) work(k *conn) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	k.place.busy = !k.place.given
+	return k.place.busy
+}
+
+// rest notes that a connection has nothing in hand.
+func (t *connTable) rest(k *conn, p place) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p.given = k.place.given
+	k.place = p
+}
+
+// given tells whether the place of a connection was given to another.
+func (t *connTable) given(k *conn) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return k.place.given
+}
+
 // limit sets how many connections there may be. Those that are open stay.
 func (t *connTable) limit(most int) {
 	t.mu.Lock()
@@ -252,6 +337,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.all, k)
+	t.gone.Broadcast()
 }
 
 // wakeAll makes all connections look at their deadlines again.
