Bound what callers can make the node believe: stamps, waits, numbers and ids

Ruled out: Req-From and Req-Rank out of range (400), ids in hand with another body (409, never the module), keys (no site here keeps any; entries are now cleaned each second all the same). At fault: Core.arrived, Policy.arrive and hear, ring. Now a request older than its class's deadline is turned away unseen, no wait is longer than that deadline, a run that could not be started takes back what its arrival told, callers told apart are 4,096 at most, ids are kept for the longest deadline and a second, 16,384 at most.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -259,7 +259,11 @@
 	if err := s.Check(); err != nil {
 		return nil, err
 	}
-	return &Core{settings: s, seed: seed, reqs: map[string]*request{}, keys: newKeyTable(), load: -1}, nil
+	c := &Core{settings: s, seed: seed, reqs: map[string]*request{}, keys: newKeyTable(), load: -1}
+	for _, k := range s.Classes {
+		c.recent.keep = max(c.recent.keep, k.Deadline+maxAhead)
+	}
+	return c, nil
 }
 
 // Known tells whether a request of this id was read lately.
@@ -359,7 +363,7 @@
 func (c *Core) drop(r *request) {
 	if !r.open && (!r.running || r.doubt) && c.reqs[r.ID] == r {
 		delete(c.reqs, r.ID)
-		c.recent.add(r.ID)
+		c.recent.add(r.ID, c.now)
 	}
 }
 
@@ -430,6 +434,8 @@
 	if ahead := q.Came - c.now; ahead > maxAhead {
 		q.Came, q.Due = c.now, q.Due-ahead // a stamp of the future would keep its timers for as long
 	}
+	sc := c.settings.Classes[q.Class]
+	q.Due = min(q.Due, q.Came+sc.Deadline) // no caller waits longer, and timers are kept for as long as it says
 	r := &request{Request: q, open: true}
 	if c.known(q.ID) {
 		// Never to the module, and never to the pool: an id that ran once must not run again.
@@ -439,11 +445,12 @@
 	}
 	c.reqs[q.ID] = r
 	c.open++
-	if c.policy == nil {
-		c.answer(r, Answer{Outcome: Refused}) // the worker pool is not up: nothing can run
+	// Nothing can run: the worker pool is not up, or nobody waits any more. A stamp of long ago must not make the
+	// module believe that requests wait unread.
+	if c.policy == nil || c.now-q.Came > sc.Deadline {
+		c.answer(r, Answer{Outcome: Refused})
 		return
 	}
-	sc := c.settings.Classes[q.Class]
 	a := whinrudder.Arrival{ID: id(q.ID), Due: q.Due, Caller: q.Caller, Unread: max(0, c.now-q.Came), KB: q.KB,
 		Rank: q.Rank, Key: q.Key, Class: q.Class, Write: sc.Repeat != whinrudder.Safe}
 	if c.settings.Fresh > 0 && sc.Repeat == whinrudder.Safe && q.Key != "" {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -64,3 +65,29 @@
 		}
 	}
 }
+
+// An id is remembered for as long as its caller may still wait, however many others came since, and no longer: it must
+// not run twice, and the memory must not grow.
+func TestIDsAreRememberedForTheirTime(t *testing.T) {
+	c, err := New(whinrudder.Settings{Cores: 1, Memory: 1e6, Halt: whinrudder.HaltAbort, Rules: whinrudder.Rules{FallMultiple: 8},
+		Classes: []whinrudder.Class{{Aim: 1, Deadline: 9000, Repeat: whinrudder.Unsafe}}}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ask := func(id string, at float64) Outcome { // there is no worker pool, so that what is not known is refused
+		out := c.Step(at, []Input{Arrived{&Request{ID: id, Came: at, Due: at + 1000, To: sink("a")}}})
+		return out[len(out)-1].(Reply).Outcome
+	}
+	var got []Outcome
+	got = append(got, ask("first", 1000))
+	for n := range 8000 {
+		ask(fmt.Sprint(n), 1000+float64(n)/2)
+	}
+	got = append(got, ask("first", 5000), ask("last", 20000), ask("first", 20001))
+	if diff := cmp.Diff([]Outcome{Refused, Doubled, Refused, Refused}, got); diff != "" {
+		t.Error(diff)
+	}
+	if n := len(c.recent.ids) + len(c.recent.seen); n != 4 {
+		t.Errorf("%d ids are kept of two", n)
+	}
+}
--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -2,23 +2,33 @@
 
 import "slices"
 
-// ring remembers the ids of the last requests that are over, so that none is taken twice.
+// ring remembers the ids of requests that are over, so that none is taken twice while its caller may still wait.
 type ring struct {
-	ids  [4096]string
-	at   int
+	keep float64 // for so long
+	ids  []past  // in order of their ends
 	seen map[string]bool
 }
 
+type past struct {
+	id string
+	at float64
+}
+
+const maxIDs = 16384 // ids remembered at a time; beyond, the oldest are forgotten early
+
 func (r *ring) has(id string) bool { return r.seen[id] }
 
-func (r *ring) add(id string) {
+func (r *ring) add(id string, now float64) {
 	if r.seen == nil {
 		r.seen = map[string]bool{}
 	}
-	delete(r.seen, r.ids[r.at])
-	r.ids[r.at] = id
+	old := 0
+	for old < len(r.ids) && (r.ids[old].at < now-r.keep || len(r.ids)-old >= maxIDs) {
+		delete(r.seen, r.ids[old].id)
+		old++
+	}
+	r.ids = append(r.ids[old:], past{id, now})
 	r.seen[id] = true
-	r.at = (r.at + 1) % len(r.ids)
 }
 
 // entry is one kept key: the request that holds it, its result once there is one, and who waits for it.
@@ -33,15 +43,19 @@
 
 // keyTable links reads of one key: where answers may serve others, a repeat names the kept request.
 type keyTable struct {
+	clean  float64 // when entries that are old are looked for again
 	byKey  map[string]*entry
 	byID   map[string]*entry
 	repeat map[string]*entry // requests that repeat another, by their id
 }
 
-const maxEntries = 1024 // entries kept at a time; beyond, reads run by themselves
+const (
+	maxEntries = 1024 // entries kept at a time; beyond, reads run by themselves
+	cleanEvery = 1000 // milliseconds
+)
 
 func newKeyTable() *keyTable {
-	return &keyTable{map[string]*entry{}, map[string]*entry{}, map[string]*entry{}}
+	return &keyTable{byKey: map[string]*entry{}, byID: map[string]*entry{}, repeat: map[string]*entry{}}
 }
 
 func keyOf(q *Request) string { return string(rune('0'+q.Class)) + q.Key }
@@ -61,11 +75,12 @@
 	if old := t.byKey[k]; old != nil && old.id != q.ID {
 		delete(t.byID, old.id)
 	}
+	if now >= t.clean {
+		t.clean = now + cleanEvery
+		t.purge(now)
+	}
 	e := t.byID[q.ID]
 	if e == nil {
-		if len(t.byID) >= maxEntries {
-			t.purge(now)
-		}
 		if len(t.byID) >= maxEntries {
 			return
 		}
--- a/internal/rehearse/caller.go
+++ b/internal/rehearse/caller.go
@@ -105,7 +105,7 @@
 		class, rest, _ := strings.Cut(text, " ")
 		id, rest, _ := strings.Cut(rest, " ")
 		f := pairs(rest)
-		fields := [][2]string{{"Req-Id", id}, {"Req-Time", fmt.Sprint(c.sent.UnixMilli())}, {"Req-From", or(f["from"], "1")},
+		fields := [][2]string{{"Req-Id", id}, {"Req-Time", or(f["time"], fmt.Sprint(c.sent.UnixMilli()))}, {"Req-From", or(f["from"], "1")},
 			{"Req-Wait-Ms", or(f["wait"], "9000")}, {"Req-Kb", or(f["kb"], "20")}, {"Req-Rank", or(f["rank"], "0.5")}}
 		if f["key"] != "" {
 			fields = append(fields, [2]string{"Req-Key", f["key"]})
--- a/internal/rehearse/player.go
+++ b/internal/rehearse/player.go
@@ -14,7 +14,7 @@
 //	pool drop                  the worker pool ends the link
 //	pool mute                  the worker pool answers no more polls, so that no command is known to have been read
 //	pool polled                waits until the worker pool has answered a poll that came after this step
-//	call NAME CLASS ID k=v ..  caller NAME sends a request: wait, kb, rank, from, key, body
+//	call NAME CLASS ID k=v ..  caller NAME sends a request: wait, time, kb, rank, from, key, body
 //	                           (a NAME.http or NAME.uwsgi speaks that protocol in any play)
 //	check NAME [real]          caller NAME sends a health check
 //	answer NAME ...            the answer that the caller reads: status, advice, body; of several, NAME,NAME, the
--- a/policy.go
+++ b/policy.go
@@ -32,6 +32,7 @@
 	sickFor      = 12000 // a sick server asks for no traffic for this long: lists follow in seconds
 	freeShare    = 0.25  // part of the free room that each caller may use beside its share
 	closeShare   = 0.9   // part of the drain's grace for which a leaving server that is needed stays open
+	callersMost  = 4096  // callers that are told apart
 	callerSpan   = 2000  // a caller heard of within this time takes part in the split of the credit
 	closeLeast   = 10.0  // hosts close no connection that was idle for less
 	connWorth    = 0.2   // a new connection costs as much as an idle one kept for this part of KeepAlive
@@ -536,6 +537,9 @@
 
 func (p *Policy) hear(id int) {
 	c := p.byID[id]
+	if c == nil && len(p.heard) >= callersMost {
+		return // numbers are the callers' own choice: they must not fill the memory
+	}
 	if c == nil {
 		c = &caller{id: id}
 		p.byID[id] = c
@@ -717,13 +721,28 @@
 	if r.phase == running {
 		p.offCore(r, running)
 	}
-	if r.phase != sharing && (e.Code == OK || r.stopped) {
+	switch {
+	case r.phase != sharing && (e.Code == OK || r.stopped):
 		p.learn(r, e.Code == OK)
+	case e.Code == Moot:
+		p.unlearn(r)
 	}
 	p.settle(r)
 	p.finish(r)
 }
 
+// unlearn takes back what an arrival told of the traffic: a request that the host could not start may be nobody's.
+func (p *Policy) unlearn(r *request) {
+	p.classes[r.Class].asked = max(0, p.classes[r.Class].asked-p.worth(r))
+	p.period.offered = max(0, p.period.offered-p.classes[r.Class].base.at(r.Work))
+	if c := p.byID[r.Caller]; c != nil {
+		was := c.count
+		c.count = max(0, was-1)
+		p.sum += c.count - was
+		p.sq += c.count*c.count - was*was
+	}
+}
+
 // learn takes the figures of a run: whole ones give costs, stopped ones tell of crowding alone.
 func (p *Policy) learn(r *request, whole bool) {
 	base := &p.classes[r.Class].base
--- a/policy_test.go
+++ b/policy_test.go
@@ -451,6 +451,25 @@
 	}
 }
 
+// Whoever invents callers and requests must not shrink the credit of the others, nor fill the memory.
+func TestWhatCouldNotBeStartedTeachesNothing(t *testing.T) {
+	s := newServer(t, nil)
+	s.step(arrival(0, 0, s.now))
+	credit := s.p.credit()
+	for n := range 2 * callersMost {
+		a := arrival(n+1, 0, s.now)
+		a.Caller = n + 1
+		s.step(a)
+		s.step(Ended{ID: id(n + 1), Code: Moot})
+	}
+	if got := s.p.credit(); got != credit {
+		t.Errorf("credit %v, %v before", got, credit)
+	}
+	if len(s.p.heard) > callersMost || s.p.period.offered != 0 || len(s.p.reqs) != 1 {
+		t.Errorf("%d callers, %v offered, %d requests", len(s.p.heard), s.p.period.offered, len(s.p.reqs))
+	}
+}
+
 func TestOtherReadingsOfTheFreeValue(t *testing.T) {
 	for say, want := range map[Say][2]float64{SayShare: {1, 0.5}, SayThreshold: {0, 0.5}} {
 		s := newServer(t, func(s *Settings) { s.Say = say })
