Answer 20 ms before a caller stops waiting, writes in doubt too

Ruled out: requests left open by the module (no such line). At fault: request.latest failed a write in doubt at its due time, when its caller had just given up; the module's own due lies two ticks (2 ms) before it, which a node on part of a core may miss. Now the module is told a due time 20 ms earlier, and a write in doubt is failed then, too. Test: TestAnswersComeBeforeCallersStopWaiting.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -175,6 +175,7 @@
 	checkWait = 1500 // a deep check that got no word of its work by then is bad
 	maxAhead  = 1000 // a request that claims to come later than this from now is taken to come now
 	writeWait = 1000 // a peer that takes an answer no sooner is cut
+	wayBack   = 20   // an answer is given so long before its caller stops waiting, to be read in time
 	backstop  = 30   // a request that the module left without an answer so long after it fell due is failed
 	deafAt    = 400  // this long before the stop no new connection is taken
 	quietAt   = 250  // and this long before it, the process ends once all is answered
@@ -193,7 +194,7 @@
 // latest is when the core itself fails a request that nobody has answered.
 func (r *request) latest() float64 {
 	if r.doubt {
-		return r.Due
+		return r.Due - wayBack
 	}
 	return r.Due + backstop
 }
@@ -451,7 +452,7 @@
 		c.answer(r, Answer{Outcome: Refused})
 		return
 	}
-	a := whinrudder.Arrival{ID: id(q.ID), Due: q.Due, Caller: q.Caller, Unread: max(0, c.now-q.Came), KB: q.KB,
+	a := whinrudder.Arrival{ID: id(q.ID), Due: q.Due - wayBack, Caller: q.Caller, Unread: max(0, c.now-q.Came), KB: q.KB,
 		Rank: q.Rank, Key: q.Key, Class: q.Class, Write: sc.Repeat != whinrudder.Safe}
 	if c.settings.Fresh > 0 && sc.Repeat == whinrudder.Safe && q.Key != "" {
 		a.RepeatOf = id(c.keys.repeats(q, c.now))
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -91,3 +92,26 @@
 		t.Errorf("%d ids are kept of two", n)
 	}
 }
+
+// Who gave up has no use for an answer: one that is due by force comes while its caller still waits, for a run that
+// goes on and for a write that a broken link may have lost.
+func TestAnswersComeBeforeCallersStopWaiting(t *testing.T) {
+	for name, in := range map[string][]Input{"running": nil, "doubt": {Lost{}, Synced{Unsure: []string{"w"}}}} {
+		c, err := New(whinrudder.Settings{Cores: 1, Memory: 1e6, Tick: 2, PassesDeadline: true, Halt: whinrudder.HaltAbort,
+			Say: whinrudder.SayNothing, Rules: whinrudder.Rules{FallMultiple: 8},
+			Classes: []whinrudder.Class{{Aim: 500, Deadline: 2000, Repeat: whinrudder.Unsafe}}}, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Step(1000, []Input{Bound{}, Synced{}})
+		c.Step(1001, []Input{Arrived{&Request{ID: "w", Came: 1001, Due: 2001, KB: 1, To: sink("a")}}})
+		out := c.Step(1002, in)
+		for c.Open() > 0 {
+			out = c.Step(c.Next(), nil)
+		}
+		reply := out[slices.IndexFunc(out, func(o Output) bool { _, ok := o.(Reply); return ok })].(Reply)
+		if reply.Outcome != Failed || c.now > 2001-wayBack || c.now < 1950 {
+			t.Errorf("%s: outcome %v at %v", name, reply.Outcome, c.now)
+		}
+	}
+}
