Keep due requests in a heap: no walk over all requests at each step of the core

Read from the source and measured: Core.Next and Core.guard walked all requests at every step. Ruled out as a worry: the timers of the module, which are a heap already. At fault: Core.Next, Core.guard. The heap forgets what is answered when it comes up; until then it keeps no body. Test: TestAnsweredRequestsKeepNoBody; answers by force are covered as before.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -191,28 +191,22 @@
 	doubt   bool // it may never have been started: the module counts on it no more, but word may come
 }
 
-// latest is when the core itself fails a request that nobody has answered.
-func (r *request) latest() float64 {
-	if r.doubt {
-		return r.Due - wayBack
-	}
-	return r.Due + backstop
-}
+// queue is a heap of what is due, the soonest first.
+type queue[T any] []due[T]
 
-type wake struct {
-	at    float64
-	token uint64
+type due[T any] struct {
+	at   float64
+	what T
 }
 
-type wakes []wake
-
-func (w wakes) Len() int           { return len(w) }
-func (w wakes) Less(i, j int) bool { return w[i].at < w[j].at }
-func (w wakes) Swap(i, j int)      { w[i], w[j] = w[j], w[i] }
-func (w *wakes) Push(x any)        { *w = append(*w, x.(wake)) }
-func (w *wakes) Pop() any {
-	last := (*w)[len(*w)-1]
-	*w = (*w)[:len(*w)-1]
+func (q queue[T]) Len() int           { return len(q) }
+func (q queue[T]) Less(i, j int) bool { return q[i].at < q[j].at }
+func (q queue[T]) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *queue[T]) Push(x any)        { *q = append(*q, x.(due[T])) }
+func (q *queue[T]) Pop() any {
+	last := (*q)[len(*q)-1]
+	(*q)[len(*q)-1] = due[T]{} // it must not be kept from the collector
+	*q = (*q)[:len(*q)-1]
 	return last
 }
 
@@ -238,9 +232,10 @@
 	recent ring
 	keys   *keyTable
 
-	wakes  wakes
-	asked  []wake  // timers that wait for gauges
-	askBy  float64 // and until when
+	latest queue[*request] // open requests by when the core itself answers them, and some that are answered
+	wakes  queue[uint64]   // timers by their tokens
+	asked  []uint64        // timers that wait for gauges
+	askBy  float64         // and until when
 	linked bool
 	queue  []string // runs to be started once the link is in step
 
@@ -301,10 +296,11 @@
 	for _, k := range c.checks {
 		sooner(k.by)
 	}
-	for _, r := range c.reqs {
-		if r.open {
-			sooner(r.latest())
-		}
+	for len(c.latest) > 0 && !c.latest[0].what.open {
+		heap.Pop(&c.latest)
+	}
+	if len(c.latest) > 0 {
+		sooner(c.latest[0].at)
 	}
 	if c.leaving && !c.ended {
 		for _, before := range []float64{deafAt, quietAt, lastAt} {
@@ -344,10 +340,15 @@
 	if !r.open {
 		return
 	}
-	r.open = false
-	c.open--
 	a.ID = r.ID
 	c.direct(r.To, a)
+	c.close(r)
+}
+
+// close ends what is owed for a request. It may stay in a queue for a while; its body need not.
+func (c *Core) close(r *request) {
+	r.open, r.Body = false, nil
+	c.open--
 	c.unqueue(r)
 	c.drop(r)
 }
@@ -374,12 +375,9 @@
 		c.arrived(i.Request)
 	case Left:
 		if r := c.reqs[i.ID]; r != nil && r.open {
-			r.open = false
-			c.open--
 			c.event(whinrudder.Gone{ID: id(r.ID)})
 			c.keys.gone(r.ID)
-			c.unqueue(r)
-			c.drop(r)
+			c.close(r)
 		}
 	case Checked:
 		c.checked(i)
@@ -402,7 +400,7 @@
 		c.finished(Finished{ID: i.ID, End: EndMoot})
 	case Gauged:
 		for _, w := range c.asked {
-			c.event(whinrudder.Timer{Token: w.token, Gauges: i.Gauges})
+			c.event(whinrudder.Timer{Token: w, Gauges: i.Gauges})
 		}
 		c.asked = c.asked[:0]
 	case Verified:
@@ -446,6 +444,7 @@
 	}
 	c.reqs[q.ID] = r
 	c.open++
+	heap.Push(&c.latest, due[*request]{q.Due + backstop, r})
 	// Nothing can run: the worker pool is not up, or nobody waits any more. A stamp of long ago must not make the
 	// module believe that requests wait unread.
 	if c.policy == nil || c.now-q.Came > sc.Deadline {
@@ -480,6 +479,7 @@
 			c.do(Suspend{r.ID}) // nobody waits for it
 		}
 		r.doubt = true
+		heap.Push(&c.latest, due[*request]{r.Due - wayBack, r})
 		c.event(whinrudder.Ended{ID: id(r.ID), Code: whinrudder.Error})
 		c.drop(r)
 	}
@@ -557,14 +557,14 @@
 	none := whinrudder.Gauges{CPU: -1}
 	if len(c.asked) > 0 && c.now >= c.askBy {
 		for _, w := range c.asked {
-			c.event(whinrudder.Timer{Token: w.token, Gauges: none})
+			c.event(whinrudder.Timer{Token: w, Gauges: none})
 		}
 		c.asked = c.asked[:0]
 	}
 	for len(c.wakes) > 0 && c.wakes[0].at <= c.now {
-		w := heap.Pop(&c.wakes).(wake)
-		if w.token == 0 || !c.linked {
-			c.event(whinrudder.Timer{Token: w.token, Gauges: none})
+		w := heap.Pop(&c.wakes).(due[uint64]).what
+		if w == 0 || !c.linked {
+			c.event(whinrudder.Timer{Token: w, Gauges: none})
 			continue
 		}
 		if len(c.asked) == 0 {
@@ -635,7 +635,7 @@
 		case whinrudder.CloseIdle:
 			c.do(Idle{a.After})
 		case whinrudder.Wake:
-			heap.Push(&c.wakes, wake{a.At, a.Token})
+			heap.Push(&c.wakes, due[uint64]{a.At, a.Token})
 		case whinrudder.Log:
 			c.logf("module text=%q", a.Text)
 		default:
@@ -647,15 +647,12 @@
 // guard sees to it that nothing stays without an answer, and ends the drain.
 func (c *Core) guard() {
 	last := c.leaving && c.now >= c.stopAt-lastAt
-	for _, r := range c.reqs {
-		switch {
-		case !r.open || !last && c.now < r.latest():
-		case r.doubt:
-			c.fail(r)
-		default:
+	for len(c.latest) > 0 && (last || c.now >= c.latest[0].at) {
+		r := heap.Pop(&c.latest).(due[*request]).what
+		if r.open && !r.doubt {
 			c.logf("request id=%s code=left-open", r.ID)
-			c.fail(r)
 		}
+		c.fail(r)
 	}
 	if !c.leaving || c.ended {
 		return
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -115,3 +115,24 @@
 		}
 	}
 }
+
+// What is answered leaves the queue of due requests by the next look at it, or stays there without its body: a node
+// that answers a thousand requests a second must not keep them for seconds.
+func TestAnsweredRequestsKeepNoBody(t *testing.T) {
+	c, err := New(whinrudder.Settings{Cores: 1, Memory: 1e6, Halt: whinrudder.HaltAbort, Rules: whinrudder.Rules{FallMultiple: 8},
+		Classes: []whinrudder.Class{{Aim: 1, Deadline: 9000, Repeat: whinrudder.Unsafe}}}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n := range 3 { // there is no worker pool: all are refused
+		c.Step(1000, []Input{Arrived{&Request{ID: fmt.Sprint(n), Came: 1000, Due: 2000, Body: []byte("body"), To: sink("a")}}})
+	}
+	for _, d := range c.latest {
+		if d.what.Body != nil {
+			t.Errorf("%s keeps its body", d.what.ID)
+		}
+	}
+	if next := c.Next(); next != 0 || len(c.latest) != 0 {
+		t.Errorf("next step at %v, %d in the queue", next, len(c.latest))
+	}
+}
