--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -408,8 +408,9 @@
 	}
 }
 
-// bound creates the module once the worker pool is up. Its first step is taken at the instant at which the pool
-// started: that is when the warming of a cold server began.
+// bound creates the module once the worker pool is up. The first step for a cold server is taken at the instant at
+// which the pool started: that is when its warming began. Of a warm one the past says nothing, and the module would
+// take the timers of its first step, an hour late, for a stall.
 func (c *Core) bound(b Bound) {
 	if c.policy != nil {
 		return
@@ -422,6 +423,9 @@
 		return
 	}
 	c.policy = p
+	if !b.Cold {
+		b.Age = 0
+	}
 	c.act(p.Step(c.now-b.Age, nil, c.actions[:0]))
 	c.do(Ready{b.Cold})
 	if c.leaving {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -136,3 +136,19 @@
 		t.Errorf("next step at %v, %d in the queue", next, len(c.latest))
 	}
 }
+
+// The module of a worker pool that has been up for an hour must not begin with timers that are an hour late.
+func TestWarmStartHasNoPast(t *testing.T) {
+	for cold, want := range map[bool]bool{false: true, true: false} {
+		c, err := New(whinrudder.Settings{Cores: 1, Memory: 1e6, Tick: 2, Halt: whinrudder.HaltAbort, Say: whinrudder.SayNothing,
+			Rules:   whinrudder.Rules{FallMultiple: 8, RampTime: 17000},
+			Classes: []whinrudder.Class{{Aim: 1, Deadline: 2, Repeat: whinrudder.Safe}}}, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Step(1e7, []Input{Bound{Cold: cold, Age: 3600e3}})
+		if got := c.Next() > 1e7; got != want {
+			t.Errorf("cold %t: first timer ahead is %t", cold, got)
+		}
+	}
+}
