--- a/policy.go
+++ b/policy.go
@@ -731,7 +731,7 @@
 	p.finish(r)
 }
 
-// unlearn takes back what an arrival told of the traffic: a request that the host could not start may be nobody's.
+// unlearn takes back what an arrival told of the traffic: what the host could not start may be nobody's.
 func (p *Policy) unlearn(r *request) {
 	p.classes[r.Class].asked = max(0, p.classes[r.Class].asked-p.worth(r))
 	p.period.offered = max(0, p.period.offered-p.classes[r.Class].base.at(r.Work))
