Bound the core's queue and waiting lines; stop a lost read once after a broken link

Starts that waited for a broken link stayed queued after their callers had left, for as long as the link was down (Core.act appended, nothing took out): 5,000 arrivals that left again kept 5,000 ids, now 64 at most or twice what is in hand. Leaving the line for a popular read's result walked the whole line (keyTable.gone), and a repeat that the module did not let share was remembered for good (keyTable.repeat); both have tests. A read whose caller left while its start was in doubt was stopped twice (pool.Link.again resent the stop, and core.synced asked for one).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -383,6 +383,7 @@
 func (c *Core) drop(r *request) {
 	if !r.open && (!r.running || r.doubt) && c.reqs[r.ID] == r {
 		delete(c.reqs, r.ID)
+		c.keys.gone(r.ID)
 		c.recent.add(r.ID, c.now)
 	}
 }
@@ -394,7 +395,6 @@
 	case Left:
 		if r := c.reqs[i.ID]; r != nil && r.open {
 			c.event(whinrudder.Gone{ID: id(r.ID)})
-			c.keys.gone(r.ID)
 			c.close(r)
 		}
 	case Checked:
@@ -521,6 +521,18 @@
 	c.queue = c.queue[:0]
 }
 
+// queueLeast is from how many starts on the queue for the link is looked through for those that nobody waits for.
+const queueLeast = 64
+
+// enqueue keeps a start for when the link is in step. While it is down, starts come and fall due for as long as it
+// takes: the queue stays within twice of what is in hand.
+func (c *Core) enqueue(id string) {
+	if len(c.queue) >= max(queueLeast, 2*len(c.reqs)) {
+		c.queue = slices.DeleteFunc(c.queue, func(s string) bool { r := c.reqs[s]; return r == nil || !r.queued })
+	}
+	c.queue = append(c.queue, id)
+}
+
 func (c *Core) finished(f Finished) {
 	r := c.reqs[f.ID]
 	if r == nil || !r.running {
@@ -632,7 +644,7 @@
 				r.running = true
 				if !c.linked {
 					r.queued = true
-					c.queue = append(c.queue, r.ID)
+					c.enqueue(r.ID)
 					continue
 				}
 				c.do(Spawn{r.ID, r.Class, r.Body})
@@ -643,7 +655,6 @@
 			}
 		case whinrudder.Refuse:
 			if r := c.reqs[string(a.ID)]; r != nil {
-				c.keys.gone(r.ID)
 				c.answer(r, Answer{Outcome: Refused, Wait: a.RetryAfter, Last: a.NotElsewhere})
 			}
 		case whinrudder.Fail:
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -153,3 +153,133 @@
 		}
 	}
 }
+
+// loaded returns a core with so many requests in hand, a third of them running.
+func loaded(tb testing.TB, n int) (c *Core, runs []string, now float64) {
+	c, err := New(whinrudder.Settings{Cores: 1 + n/3, Memory: 1e9, Tick: 2, Halt: whinrudder.HaltAbort, Callers: 3,
+		Say: whinrudder.SayWindow, PassesDeadline: true, Rules: whinrudder.Rules{FallMultiple: 6},
+		Classes: []whinrudder.Class{{Aim: 1e6, Deadline: 3e6, Worth: 1, Repeat: whinrudder.Safe}}}, 1)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	now = 1000.0
+	c.Step(now, []Input{Bound{}, Synced{}})
+	var in []Input
+	for i := range n {
+		in = append(in, Arrived{&Request{ID: fmt.Sprint(i), Came: now, Due: now + 3e6, KB: 30, To: sink("a")}})
+	}
+	for _, o := range c.Step(now, in) {
+		if s, ok := o.(Spawn); ok {
+			runs = append(runs, s.ID)
+		}
+	}
+	if c.Open() != n {
+		tb.Fatalf("%d in hand, want %d", c.Open(), n)
+	}
+	return c, runs, now
+}
+
+// BenchmarkIdleStep is a step in which nothing happens, with so many requests in hand.
+func BenchmarkIdleStep(b *testing.B) {
+	for _, n := range []int{10, 100, 1000, 10000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c, _, now := loaded(b, n)
+			for b.Loop() {
+				now += 0.001
+				c.Step(now, nil)
+				c.Next()
+			}
+		})
+	}
+}
+
+// BenchmarkBusyStep is the end of a run and an arrival, with so many requests in hand.
+func BenchmarkBusyStep(b *testing.B) {
+	for _, n := range []int{10, 100, 1000, 10000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c, runs, now := loaded(b, n)
+			next := n
+			for b.Loop() {
+				now += 0.001
+				next++
+				out := c.Step(now, []Input{Finished{ID: runs[0], Took: 1},
+					Arrived{&Request{ID: fmt.Sprint(next), Came: now, Due: now + 3e6, KB: 30, To: sink("a")}}})
+				runs = runs[1:]
+				for _, o := range out {
+					if s, ok := o.(Spawn); ok {
+						runs = append(runs, s.ID)
+					}
+				}
+				c.Next()
+			}
+		})
+	}
+}
+
+// Starts that wait for the link to the worker pool stay bounded while it is down, however many come and leave again.
+func TestQueueForTheLinkIsBounded(t *testing.T) {
+	c, now := sharing(t)
+	c.Step(now, []Input{Lost{}})
+	most := 0
+	for i := range 5000 {
+		now += 10
+		c.Step(now, []Input{Arrived{&Request{ID: fmt.Sprint(i), Came: now, Due: now + 2000, KB: 30, To: sink("a")}},
+			Left{fmt.Sprint(i - 2)}})
+		most = max(most, len(c.queue))
+	}
+	if most == 0 || most > queueLeast {
+		t.Errorf("%d starts wait at most, want some and %d at most", most, queueLeast)
+	}
+	starts := 0
+	for _, o := range c.Step(now, []Input{Synced{}}) {
+		if _, ok := o.(Spawn); ok {
+			starts++
+		}
+	}
+	if starts != c.Open() || starts == 0 {
+		t.Errorf("%d starts once the link is in step, want one for each of %d in hand", starts, c.Open())
+	}
+}
+
+// Requests that wait for the answer of another are forgotten when they leave or fall due, and the rest are served.
+func TestWaitingForAResultLeavesNothingBehind(t *testing.T) {
+	c, now := sharing(t)
+	ask := func(id string, due float64) Input {
+		return Arrived{&Request{ID: id, Key: "k", Came: now, Due: due, KB: 30, To: sink(id)}}
+	}
+	c.Step(now, []Input{ask("first", now+2000)})
+	for i := range 1000 {
+		c.Step(now, []Input{ask(fmt.Sprint("left", i), now+2000)})
+	}
+	c.Step(now, []Input{ask("due", now+100), ask("served", now+2000)})
+	for i := range 1000 {
+		c.Step(now, []Input{Left{fmt.Sprint("left", i)}})
+	}
+	now += 200
+	c.Step(now, nil)
+	if len(c.keys.repeat) != 1 || c.keys.byID["first"].n != 1 || c.Open() != 2 {
+		t.Errorf("%d repeats, %d open, want the last alone and the first", len(c.keys.repeat), c.Open())
+	}
+	served := 0
+	for _, o := range c.Step(now, []Input{Finished{ID: "first", Result: []byte("r")}}) {
+		if r, ok := o.(Reply); ok && r.Outcome == Served {
+			served++
+		}
+	}
+	if served != 2 || len(c.keys.repeat) != 0 || c.Open() != 0 {
+		t.Errorf("%d served, %d repeats, %d open, want 2 and none", served, len(c.keys.repeat), c.Open())
+	}
+}
+
+// sharing returns a core of four cores that serves, where answers to reads may serve others.
+func sharing(t *testing.T) (c *Core, now float64) {
+	t.Helper()
+	c, err := New(whinrudder.Settings{Cores: 4, Memory: 1e9, Tick: 2, Halt: whinrudder.HaltAbort, Callers: 3, Fresh: 500,
+		Say: whinrudder.SayWindow, PassesDeadline: true, Rules: whinrudder.Rules{FallMultiple: 6},
+		Classes: []whinrudder.Class{{Aim: 1000, Deadline: 3000, Worth: 1, Repeat: whinrudder.Safe}}}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Step(1000, []Input{Bound{}, Synced{}})
+	return c, 1000
+}
--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -1,7 +1,5 @@
 package core
 
-import "slices"
-
 // ring remembers the ids of requests that are over, so that none is taken twice while its caller may still wait.
 type ring struct {
 	keep float64 // for so long
@@ -38,7 +36,8 @@
 	until   float64 // of the module's Keep; once it is over, of its freshness
 	over    bool
 	result  []byte
-	waiting []string
+	waiting []string // some may have left
+	n       int      // and so many have not
 }
 
 // keyTable links reads of one key: where answers may serve others, a repeat names the kept request.
@@ -46,7 +45,13 @@
 	clean  float64 // when entries that are old are looked for again
 	byKey  map[string]*entry
 	byID   map[string]*entry
-	repeat map[string]*entry // requests that repeat another, by their id
+	repeat map[string]repeat // requests in hand that repeat another, by their id
+}
+
+// repeat is a request that repeats the one of an entry.
+type repeat struct {
+	*entry
+	waits bool // for its result
 }
 
 const (
@@ -55,7 +60,7 @@
 )
 
 func newKeyTable() *keyTable {
-	return &keyTable{byKey: map[string]*entry{}, byID: map[string]*entry{}, repeat: map[string]*entry{}}
+	return &keyTable{byKey: map[string]*entry{}, byID: map[string]*entry{}, repeat: map[string]repeat{}}
 }
 
 func keyOf(q *Request) string { return string(rune('0'+q.Class)) + q.Key }
@@ -66,7 +71,7 @@
 	if e == nil || e.until < q.Came {
 		return ""
 	}
-	t.repeat[q.ID] = e
+	t.repeat[q.ID] = repeat{entry: e}
 	return e.id
 }
 
@@ -93,7 +98,7 @@
 // purge takes out what is over and no longer fresh.
 func (t *keyTable) purge(now float64) {
 	for id, e := range t.byID {
-		if e.until < now && len(e.waiting) == 0 {
+		if e.until < now && e.n == 0 {
 			t.remove(id)
 		}
 	}
@@ -122,32 +127,36 @@
 // release serves all that wait for an entry.
 func (t *keyTable) release(e *entry, serve func(id string, ok bool, result []byte)) {
 	waiting := e.waiting
-	e.waiting = nil
+	e.waiting, e.n = nil, 0
 	for _, w := range waiting {
-		delete(t.repeat, w)
-		serve(w, e.result != nil, e.result)
+		if t.repeat[w] == (repeat{e, true}) {
+			delete(t.repeat, w)
+			serve(w, e.result != nil, e.result)
+		}
 	}
 }
 
-// gone takes a request that is over without a run out of the waiting line.
+// gone forgets that a request repeats another: it is over.
 func (t *keyTable) gone(id string) {
-	if e := t.repeat[id]; e != nil {
-		e.waiting = slices.DeleteFunc(e.waiting, func(w string) bool { return w == id })
-		delete(t.repeat, id)
+	if r := t.repeat[id]; r.waits {
+		r.n--
 	}
+	delete(t.repeat, id)
 }
 
 // reuse serves a repeat with the result that it repeats, now or when there is one.
 func (t *keyTable) reuse(id string, serve func(id string, ok bool, result []byte)) {
-	e := t.repeat[id]
+	r := t.repeat[id]
 	switch {
-	case e == nil:
+	case r.entry == nil:
 		serve(id, false, nil)
-	case e.over:
+	case r.over:
 		delete(t.repeat, id)
-		serve(id, e.result != nil, e.result)
+		serve(id, r.result != nil, r.result)
 	default:
-		e.waiting = append(e.waiting, id)
+		r.n++
+		r.waiting = append(r.waiting, id)
+		t.repeat[id] = repeat{r.entry, true}
 	}
 }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -40,11 +40,12 @@
 	sent   []command // handed to the present connection, in order, and not known to have been read
 }
 
-// command is a line for the worker pool; spawn is the id if it starts a run. Once the answer to a poll of a higher
+// command is a line for the worker pool; spawn is the id if it starts a run, stop if it stops one. Once the answer to a poll of a higher
 // number has come on the same connection, the command is known to have been read.
 type command struct {
 	line  []byte
 	spawn string
+	stop  string
 	after uint64
 }
 
@@ -93,10 +94,10 @@
 		b = append(b, l.classes[o.Class]...)
 		b = append(b, `","blob":"`...)
 		b = base64.StdEncoding.AppendEncode(b, o.Body)
-		l.queue = append(l.queue, command{append(b, "\"}\n"...), o.ID, l.polls})
+		l.queue = append(l.queue, command{line: append(b, "\"}\n"...), spawn: o.ID, after: l.polls})
 	case core.Suspend:
 		b := fmt.Appendf(nil, `{"msg":"suspend","call":"%s"}`+"\n", o.ID)
-		l.queue = append(l.queue, command{line: b, after: l.polls})
+		l.queue = append(l.queue, command{line: b, stop: o.ID, after: l.polls})
 	case core.Poll:
 		l.polls++
 		b := fmt.Appendf(nil, `{"msg":"poll","cookie":"gauges%d"}`+"\n", l.polls)
@@ -209,18 +210,22 @@
 }
 
 // again lists the starts that a broken connection may have lost, for the core to decide on. Stops and checks that
-// it may have lost are asked for again before all that waits: twice they do no harm.
+// it may have lost are asked for again before all that waits: twice they do no harm. Stops of runs whose start is in
+// doubt are left to the core, too.
 func (l *Link) again() (starts []string) {
 	var others []command
+	doubt := map[string]bool{}
 	for _, c := range l.sent {
 		switch {
 		case c.spawn != "":
 			starts = append(starts, c.spawn)
+			doubt[c.spawn] = true
 		case !bytes.HasPrefix(c.line, []byte(`{"msg":"poll"`)):
 			others = append(others, c)
 		}
 	}
-	l.sent, l.queue = nil, append(others, l.queue...)
+	l.queue = slices.DeleteFunc(append(others, l.queue...), func(c command) bool { return doubt[c.stop] })
+	l.sent = nil
 	return starts
 }
 
