--- a/cmd/whinrudder/main.go
+++ b/cmd/whinrudder/main.go
@@ -76,6 +76,7 @@
 			labCommand(out),
 			knowledgeCommand(out),
 			keysCommand(out),
+			keptCommand(out),
 			{Name: "version", Usage: "print the version", Action: func(context.Context, *cli.Command) error {
 				fmt.Fprintln(out, "whinrudder", version)
 				return nil
--- a/internal/core/kept.go
+++ b/internal/core/kept.go
@@ -133,6 +133,8 @@
 	}
 	result, ok, ended := c.ops.Early(r.ID)
 	switch {
+	case ended && ok && r.of != "":
+		c.answer(r, Answer{Outcome: Served, Result: result, Kept: "result"})
 	case ended && ok:
 		c.answer(r, Answer{Outcome: Served, Result: result})
 	case ended:
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -17,6 +17,8 @@
 
 // Found tells what opening a journal has found.
 type Found struct {
+	Node              string
+	Version           int
 	Segments, Records int
 	Bytes             int64
 	Torn              int64 // bytes behind the last batch that counts
@@ -191,7 +193,9 @@
 			return fmt.Errorf("%w: %q, not %q", ErrNode, r.Node, j.node)
 		case at > 0 && r.Kind == header, batch < j.batch:
 			return Damage{seg, at, "a record is out of order"}
-		case at > 0:
+		case at == 0:
+			found.Node, found.Version = r.Node, r.Version
+		default:
 			visit(r, Place{seg, at, size})
 			found.Records++
 		}
--- a/internal/memfolder/memfolder.go
+++ b/internal/memfolder/memfolder.go
@@ -67,6 +67,18 @@
 	return &Folder{rng: rand.New(rand.NewPCG(seed, 7)), files: map[string]*content{}, lasting: map[string]*content{}}
 }
 
+// Clone returns a folder that holds the same, all of it synced.
+func (f *Folder) Clone(seed uint64) *Folder {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := New(seed)
+	for n, c := range f.files {
+		out.files[n] = &content{data: slices.Clone(c.data), synced: len(c.data)}
+		out.lasting[n] = out.files[n]
+	}
+	return out
+}
+
 // Faults sets what decides on faults; nil: none.
 func (f *Folder) Faults(faults func(Op) Fault) {
 	f.mu.Lock()
--- a/internal/ops/dump.go
+++ b/internal/ops/dump.go
@@ -1,9 +1,12 @@
 package ops
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
+
+	"whinrudder/internal/journal"
 )
 
 // Dump is the state of the table as text, without times, for tools and for tests that compare states.
@@ -24,3 +27,21 @@
 	}
 	return fmt.Sprint(strings.Join(lines, "\n"), "\nfailing ", t.failing)
 }
+
+// Item is an operation as operators see it.
+type Item struct {
+	Key, Run, By string
+	State        State
+	End          journal.Kind // of one that is done
+	At           float64
+	Place        journal.Place
+}
+
+// All lists the operations in order of their last change.
+func (t *Table) All() (out []Item) {
+	for _, o := range t.ops {
+		out = append(out, Item{o.key, o.run, o.by, o.state, o.end, o.at, o.place})
+	}
+	slices.SortFunc(out, func(a, b Item) int { return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Key, b.Key)) })
+	return out
+}
--- /dev/null
+++ b/internal/ops/ops_test.go
@@ -0,0 +1,330 @@
+package ops
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"pgregory.net/rapid"
+
+	"whinrudder/internal/journal"
+)
+
+var limits = Limits{Keys: 3, DiskBytes: 10000, SegmentBytes: 1000, AgeMs: 100e3, DoubtMs: 200e3}
+
+// disk is a journal that takes all that a table writes, when it is told to.
+type disk struct {
+	t    *Table
+	seg  uint32
+	at   uint32
+	segs []journal.Segment
+	all  map[journal.Place]journal.Record
+	log  []Effect // all but writes
+	wait []Write
+}
+
+func newDisk(l Limits) *disk {
+	return &disk{t: New(l), seg: 1, segs: []journal.Segment{{No: 1}}, all: map[journal.Place]journal.Record{}}
+}
+
+// effects takes what the table wants.
+func (d *disk) effects() []Effect {
+	for _, e := range d.t.Effects() {
+		if w, ok := e.(Write); ok {
+			d.wait = append(d.wait, w)
+			continue
+		}
+		d.log = append(d.log, e)
+	}
+	out := d.log
+	d.log = nil
+	return out
+}
+
+// lay makes all that waits last.
+func (d *disk) lay(now float64) []Effect {
+	d.log = append(d.log, d.effects()...)
+	var places []journal.Place
+	for _, w := range d.wait {
+		r := w.Record
+		if w.From.Seg > 0 {
+			r = d.all[w.From]
+		}
+		if int64(d.at) >= d.t.limits.SegmentBytes {
+			d.seg, d.at = d.seg+1, 0
+			d.segs = append(d.segs, journal.Segment{No: d.seg})
+		}
+		p := journal.Place{Seg: d.seg, At: d.at, Len: uint32(100 + len(r.Result))}
+		d.at += p.Len
+		d.segs[len(d.segs)-1].Bytes = int64(d.at)
+		d.all[p] = r
+		places = append(places, p)
+	}
+	d.wait = nil
+	if len(places) > 0 {
+		d.t.Durable(now, places, append([]journal.Segment{}, d.segs...))
+	}
+	return d.effects()
+}
+
+func digest(s string) (d [digestSize]byte) { copy(d[:], s); return d }
+
+// book takes an operation to its end.
+func (d *disk) book(now float64, id, key string) []Effect {
+	d.t.Begin(now, id, key, digest(key))
+	d.t.Intend(now, id)
+	d.lay(now)
+	d.t.Finish(now, id, true, []byte("r"))
+	return d.lay(now)
+}
+
+// A table that is full refuses new keys and nothing else; ages make room, doubts keep theirs for longer, and what comes
+// for a key that was aged out is no word on anything.
+func TestBoundsAndAges(t *testing.T) {
+	d := newDisk(limits)
+	d.book(1000, "a1", "a")
+	d.t.Begin(1000, "b1", "b", digest("b"))
+	d.t.Intend(1000, "b1")
+	d.lay(1000)
+	d.t.Doubtful(5000, "b1")
+	d.book(2000, "c1", "c")
+	d.effects()
+	if v := d.t.Begin(3000, "d1", "d", digest("d")); v != (Verdict{Kind: Refused, Why: WhyFull}) {
+		t.Errorf("%+v", v)
+	}
+	if v := d.t.Begin(3000, "a2", "a", digest("a")); v.Kind != Served {
+		t.Errorf("what is kept is told: %+v", v)
+	}
+	if v := d.t.Begin(3000, "b2", "b", digest("b")); v != (Verdict{Kind: Fails, Why: WhyDoubt}) {
+		t.Errorf("%+v", v)
+	}
+	if v := d.t.Begin(101100, "d2", "d", digest("d")); v.Kind != Leads {
+		t.Errorf("an end that is old enough makes room: %+v", v)
+	}
+	if v := d.t.Begin(201500, "b3", "b", digest("b")); v.Kind != Leads {
+		t.Errorf("a doubt that is old enough is forgotten: %+v", v)
+	}
+	if d.t.Finish(201600, "b1", true, nil) {
+		t.Error("a result came for an operation that was aged out, and was taken")
+	}
+	if v := d.t.Begin(201700, "b4", "b", digest("b")); v.Kind != Waits {
+		t.Errorf("the new try of the key stays as it was: %+v", v)
+	}
+	d = newDisk(limits)
+	d.t.Segments([]journal.Segment{{No: 1, Bytes: 10000}})
+	if v := d.t.Begin(1000, "a1", "a", digest("a")); v.Why != WhyFull {
+		t.Errorf("the disk is full: %+v", v)
+	}
+}
+
+// A clock that is set back by an hour between two lives keeps what was kept, and no longer than it is told to by more than
+// that hour; one that is set forward forgets what is old enough by it.
+func TestClockAcrossLives(t *testing.T) {
+	for _, c := range []struct {
+		now  float64
+		want Is
+	}{{10e6 + 50e3, Served}, {10e6 - 3600e3, Served}, {10e6 + 101e3, Leads}} {
+		d := newDisk(limits)
+		d.t.Recover(journal.Record{Kind: journal.Finished, Key: "a", Run: "a1", At: 10e6, Digest: make([]byte, digestSize)}, journal.Place{Seg: 1, Len: 100})
+		d.t.Recovered(c.now, d.segs)
+		if v := d.t.Begin(c.now, "a2", "a", [digestSize]byte{}); v.Kind != c.want {
+			t.Errorf("at %v: %+v, want %v", c.now, v, c.want)
+		}
+	}
+}
+
+// A disk that takes nothing ends in refusals: intents are taken back after their time, new ones are not begun, an end is
+// told early, and all goes on once it is well again.
+func TestStalledDisk(t *testing.T) {
+	d := newDisk(Limits{Keys: 10, DiskBytes: 1e6, SegmentBytes: 1000, AgeMs: 1e6, DoubtMs: 1e6})
+	d.t.Begin(1000, "a1", "a", digest("a"))
+	d.t.Intend(1000, "a1")
+	d.lay(1000)
+	d.t.Finish(1100, "a1", true, []byte("r"))
+	d.t.Begin(1100, "b1", "b", digest("b"))
+	d.t.Intend(1100, "b1")
+	d.t.Wait(1150, "b2", "b")
+	d.effects()
+	if v := d.t.Begin(1500, "c1", "c", digest("c")); v.Why != WhyStalled {
+		t.Errorf("%+v", v)
+	}
+	if r, ok, ended := d.t.Early("a1"); string(r) != "r" || !ok || !ended {
+		t.Errorf("%q %v %v", r, ok, ended)
+	}
+	if at := d.t.Next(); at != 1100+startFor {
+		t.Errorf("looked at again at %v", at)
+	}
+	d.t.Tick(1100 + startFor)
+	want := []Effect{Refuse{"b1", WhyStalled}, Refuse{"b2", WhyNotRun}}
+	if diff := cmp.Diff(want, d.effects()); diff != "" {
+		t.Error(diff)
+	}
+	want = []Effect{Serve{ID: "a1", Result: []byte("r")}}
+	if diff := cmp.Diff(want, d.lay(3000)); diff != "" {
+		t.Error(diff)
+	}
+	if v := d.t.Begin(3000, "b3", "b", digest("b")); v.Kind != Leads {
+		t.Errorf("what was taken back is free again: %+v", v)
+	}
+}
+
+// A sync that fails: an intent counts for nothing and its request is refused, an end is written again until it lasts, and
+// a record of no meaning finds out when the disk is well.
+func TestLostWrites(t *testing.T) {
+	d := newDisk(Limits{Keys: 10, DiskBytes: 1e6, SegmentBytes: 1000, AgeMs: 1e6, DoubtMs: 1e6})
+	d.t.Begin(1000, "a1", "a", digest("a"))
+	d.t.Intend(1000, "a1")
+	d.effects()
+	d.wait = nil
+	d.t.Lost(1010, 1, d.segs)
+	if diff := cmp.Diff([]Effect{Refuse{"a1", WhyStalled}}, d.effects()); diff != "" {
+		t.Error(diff)
+	}
+	if v := d.t.Begin(1020, "b1", "b", digest("b")); v.Why != WhyStalled {
+		t.Errorf("%+v", v)
+	}
+	if len(d.wait) != 1 || d.wait[0].Record.Key != "" {
+		t.Errorf("want one record of no meaning, got %+v", d.wait)
+	}
+	d.lay(1100)
+	d.book(1200, "b2", "b")
+	d.t.Begin(1300, "c1", "c", digest("c"))
+	d.t.Intend(1300, "c1")
+	d.lay(1300)
+	d.t.Finish(1310, "c1", true, []byte("r"))
+	for range 3 {
+		d.effects()
+		d.wait = nil
+		d.t.Lost(1320, 1, d.segs)
+	}
+	if diff := cmp.Diff([]Effect{Serve{ID: "c1", Result: []byte("r")}}, d.lay(1400)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Whatever is booked, left, lost and aged out: what a new life recovers from the records is what the table holds, the
+// journal stays within twice of what counts and two segments, and moving it never outruns its budget.
+func TestRecoveryAgreesAndTheJournalStaysSmall(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := Limits{Keys: 40, DiskBytes: 1e9, SegmentBytes: 1500, AgeMs: 20e3, DoubtMs: 1e9}
+		d := newDisk(l)
+		now, n := 1000.0, 0
+		var running []string
+		for range rapid.IntRange(20, 300).Draw(t, "steps") {
+			now += float64(rapid.IntRange(1, 400).Draw(t, "ms"))
+			n++
+			key, id := fmt.Sprint("k", rapid.IntRange(0, 30).Draw(t, "key")), fmt.Sprint("id", n)
+			switch v := d.t.Begin(now, id, key, digest(key)); v.Kind {
+			case Leads:
+				if rapid.IntRange(0, 3).Draw(t, "refused") == 0 {
+					d.t.Leave(now, id)
+				} else if d.t.Intend(now, id) {
+					running = append(running, id)
+				}
+			case Waits:
+				d.t.Wait(now, id, key)
+			}
+			d.log = append(d.log, d.effects()...)
+			if rapid.Bool().Draw(t, "lay") {
+				d.log = append(d.log, d.lay(now)...)
+			}
+			if len(running) > 0 && rapid.Bool().Draw(t, "end") {
+				i := rapid.IntRange(0, len(running)-1).Draw(t, "which")
+				switch id := running[i]; rapid.IntRange(0, 4).Draw(t, "how") {
+				case 0:
+					d.t.Moot(now, id)
+				case 1:
+					d.t.Doubtful(now, id)
+				case 2:
+					d.t.Leave(now, id)
+				default:
+					d.t.Finish(now, id, true, make([]byte, rapid.IntRange(0, 200).Draw(t, "bytes")))
+				}
+				running = append(running[:i], running[i+1:]...)
+			}
+			if rapid.IntRange(0, 9).Draw(t, "lost") == 0 {
+				d.log = append(d.log, d.effects()...)
+				if k := len(d.wait); k > 0 {
+					d.wait = nil
+					d.t.Lost(now, k, d.segs)
+				}
+			}
+			d.log = append(d.log, d.lay(now)...)
+			before := len(d.t.pending)
+			d.t.Tick(now)
+			if moved := len(d.t.pending) - before; moved > copyMost {
+				t.Fatalf("%d moved at once", moved)
+			}
+			for _, e := range d.effects() {
+				if e, ok := e.(Drop); ok {
+					if e.Seg != d.segs[0].No || len(d.segs) < 2 {
+						t.Fatalf("segment %d of %v is dropped", e.Seg, d.segs)
+					}
+					for p := range d.all {
+						if p.Seg == e.Seg {
+							delete(d.all, p)
+						}
+					}
+					d.segs = d.segs[1:]
+					d.t.Dropped(now, e.Seg, true, append([]journal.Segment{}, d.segs...))
+				}
+			}
+		}
+		d.lay(now)
+		for i := 0; i < 400; i++ { // let it move what it wants to
+			now += copyEvery
+			d.t.Tick(now)
+			d.log = append(d.log, d.lay(now)...)
+			for _, e := range d.log {
+				if _, ok := e.(Drop); ok {
+					for p := range d.all {
+						if p.Seg == d.segs[0].No {
+							delete(d.all, p)
+						}
+					}
+					no := d.segs[0].No
+					d.segs = d.segs[1:]
+					d.t.Dropped(now, no, true, append([]journal.Segment{}, d.segs...))
+				}
+			}
+			d.log = nil
+		}
+		if sum := d.t.liveSum; d.t.disk > 2*sum+3*l.SegmentBytes {
+			t.Fatalf("%d bytes for %d that count", d.t.disk, sum)
+		}
+		again := New(l)
+		for _, s := range d.segs {
+			for at := uint32(0); int64(at) < s.Bytes; {
+				found := false
+				for p, r := range d.all {
+					if p.Seg == s.No && p.At == at {
+						again.Recover(r, p)
+						at += p.Len
+						found = true
+					}
+				}
+				if !found {
+					t.Fatalf("nothing at %d of segment %d", at, s.No)
+				}
+			}
+		}
+		again.Recovered(now, d.segs)
+		d.t.expire(now)
+		state := func(t *Table) map[string]string {
+			out := map[string]string{}
+			for _, i := range t.All() {
+				if i.State == Running || i.State == Writing {
+					i.State = Doubt // to a new life
+				}
+				if i.State != Held {
+					out[i.Key] = fmt.Sprint(i.State, i.Run, i.End, i.Place)
+				}
+			}
+			return out
+		}
+		if diff := cmp.Diff(state(d.t), state(again), cmpopts.EquateEmpty()); diff != "" {
+			t.Fatal(diff)
+		}
+	})
+}
