--- a/cmd/whinrudder-kit/lab.go
+++ b/cmd/whinrudder-kit/lab.go
@@ -106,6 +106,39 @@
 				return err
 			})
 		},
+	}, {
+		Name: "kept", Usage: "what keeping results costs: engines side by side, a node with and without, a stall, recoveries",
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "bookings", Usage: "in each run with 128 in hand; fewer with less", Value: 20000},
+			&cli.StringFlag{Name: "program", Usage: "the node's program; the one beside this by default"},
+			&cli.StringFlag{Name: "dir", Usage: "folder on the disk that is measured; a temporary one by default"},
+			&cli.FloatFlag{Name: "stall", Usage: "seconds of the stall", Value: 2},
+			&cli.IntSliceFlag{Name: "recover", Usage: "operations in each journal that is recovered", Value: []int{1000, 36000, 1000000}},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return bounded(ctx, c, func(ctx context.Context, program string) error {
+				dir, err := os.MkdirTemp(c.String("dir"), "lab-kept")
+				if err != nil {
+					return err
+				}
+				defer os.RemoveAll(dir)
+				runs, err := lab.Engines(dir, c.Int("bookings"))
+				if err != nil {
+					return err
+				}
+				more, err := lab.Bookings(ctx, program, dir, c.Int("bookings"))
+				if err != nil {
+					return err
+				}
+				all, err := lab.Recoveries(dir, c.IntSlice("recover"))
+				if err != nil {
+					return err
+				}
+				stalls, err := lab.Stall(ctx, dir, c.Float("stall")) // the last: a node sets limits of its process
+				lab.WriteKept(out, append(runs, more...), all, stalls)
+				return err
+			})
+		},
 	}, {
 		Name: "standard-server", Usage: "Go's standard server, for fronts", Hidden: true,
 		Action: func(context.Context, *cli.Command) error { return lab.Standard(out) },
--- a/cmd/whinrudder/main.go
+++ b/cmd/whinrudder/main.go
@@ -102,7 +102,7 @@
 		err = errors.Join(err, err2)
 	}
 	if err == nil {
-		_, err = op.KeptOf(cfg.Settings)
+		_, err = op.KeptOf(cfg)
 	}
 	return cfg, op, err
 }
--- a/internal/kept/crash_test.go
+++ b/internal/kept/crash_test.go
@@ -212,3 +212,34 @@
 	}
 	runtime.KeepAlive(w)
 }
+
+// A disk that is full for a while: what is in hand is answered, new bookings are refused and provably not run, and once
+// there is room all goes on.
+func TestFullDisk(t *testing.T) {
+	w := newWorld(1, usual)
+	w.ask("a", "b:a")
+	w.lay()
+	w.read()
+	w.dir.Limit(w.dir.Bytes() + 50) // the end of a does not fit
+	for _, id := range w.unfinished() {
+		w.finish(id)
+	}
+	refused := 0
+	for i := range 20 {
+		w.lay()
+		if a := w.ask(fmt.Sprint("n", i), ""); len(a.answers) == 1 && a.answers[0].Kept == "stalled" && a.answers[0].Wait > 0 {
+			refused++
+		}
+		w.pass(100)
+	}
+	if len(w.order) != 1 || refused < 15 {
+		t.Errorf("%d runs, %d refused", len(w.order), refused)
+	}
+	w.dir.Limit(0)
+	w.lay()
+	w.lay()
+	w.calm([]string{"a", "n0", "n19"})
+	for _, e := range w.wrong {
+		t.Error(e)
+	}
+}
--- a/internal/kept/history_test.go
+++ b/internal/kept/history_test.go
@@ -39,7 +39,7 @@
 			return []any{unknown, hidden}
 		case o == "nothing":
 			return []any{s}
-		// In doubt once a result was promised, or a first result twice: no order explains that.
+			// In doubt once a result was promised, or a first result twice: no order explains that.
 		}
 		return nil
 	},
--- a/internal/kept/look.go
+++ b/internal/kept/look.go
@@ -29,6 +29,9 @@
 	}
 	t := ops.New(ops.Limits{AgeMs: 1e15, DoubtMs: 1e15})
 	found, damage, err := journal.Verify(dir, t.Recover)
+	if err == nil && found.Segments == 0 {
+		err = fmt.Errorf("%s holds no journal", path)
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/internal/lab/floods.go
+++ b/internal/lab/floods.go
@@ -120,7 +120,7 @@
 // whenever the node closes them, and watches the memory of its process and whether it goes on to answer others.
 func Floods(ctx context.Context, program string, seconds int) (out []FloodRun, err error) {
 	for _, kind := range FloodKinds {
-		n, err := startNode(ctx, program, []string{"h2c"})
+		n, err := startNode(ctx, program, []string{"h2c"}, "")
 		if err != nil {
 			return out, err
 		}
--- a/internal/lab/fronts.go
+++ b/internal/lab/fronts.go
@@ -35,7 +35,7 @@
 // standard server as a yardstick: standard is the command line of one that prints its address first. The worker pool is
 // a stand-in that ends each run at once, so that what is measured is the way through the node.
 func Fronts(ctx context.Context, program string, fronts []string, standard []string, requests int) (out []FrontRun, err error) {
-	n, err := startNode(ctx, program, fronts)
+	n, err := startNode(ctx, program, fronts, "")
 	if err != nil {
 		return nil, err
 	}
@@ -87,8 +87,16 @@
 	stop  func()
 }
 
-// startNode starts a node with some fronts and waits until it serves.
-func startNode(ctx context.Context, program string, fronts []string) (n *testNode, err error) {
+// labConfig is the configuration of a node that is measured, without the addresses of its front and its worker pool.
+const labConfig = `{"name":"n1","listen":"%s","pool":"%s","announce":"127.0.0.1:9","seed":"1","stop_ms":500,
+"limits":{"cores":1,"memory_mb":192,"sockets":1024},"settings":{"servers":3,"tick_ms":2,"profiles":[{"name":"status-lookup",
+"aim_ms":6000,"deadline_ms":9000,"repeat":"repeatable","worth":1},{"name":"payout-book","aim_ms":6000,"deadline_ms":9000,"repeat":"once","worth":3}],"specifics":{"below":"silent","callers":1,"cores":256,
+"halt":"abort","heard_for_ms":1000,"keepalive_max_ms":30000,"ram_kb":9000000,"run_factor":16,"say":"window",
+"passes_deadline":true,"tells_gone":true,"own_stats":["cpu_busy","runnable","mem_used","sockets"]},
+"rules":{"fall_multiple":8,"drain_grace_ms":2000}}}`
+
+// startNode starts a node with some fronts, and sections of the operator's file, and waits until it serves.
+func startNode(ctx context.Context, program string, fronts []string, sections string) (n *testNode, err error) {
 	n = &testNode{addrs: map[string]string{}}
 	dir, err := os.MkdirTemp("", "node")
 	if err != nil {
@@ -104,13 +112,8 @@
 			return nil, err
 		}
 	}
-	config := fmt.Sprintf(`{"name":"n1","listen":"%s","pool":"%s","announce":"127.0.0.1:9","seed":"1","stop_ms":500,
-"limits":{"cores":1,"memory_mb":192,"sockets":1024},"settings":{"servers":3,"tick_ms":2,"profiles":[{"name":"status-lookup",
-"aim_ms":6000,"deadline_ms":9000,"repeat":"repeatable","worth":1}],"specifics":{"below":"silent","callers":1,"cores":256,
-"halt":"abort","heard_for_ms":1000,"keepalive_max_ms":30000,"ram_kb":9000000,"run_factor":16,"say":"window",
-"passes_deadline":true,"tells_gone":true,"own_stats":["cpu_busy","runnable","mem_used","sockets"]},
-"rules":{"fall_multiple":8,"drain_grace_ms":2000}}}`, n.addrs["http"], pool.Addr())
-	operator := ""
+	config := fmt.Sprintf(labConfig, n.addrs["http"], pool.Addr())
+	operator := sections
 	for _, f := range fronts {
 		if f != "http" {
 			operator += fmt.Sprintf(`,%q:{"listen":%q}`, f, n.addrs[f])
--- /dev/null
+++ b/internal/lab/stall.go
@@ -0,0 +1,156 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+	"gonum.org/v1/gonum/stat"
+
+	"whinrudder/internal/folder"
+	"whinrudder/internal/node"
+	"whinrudder/internal/settings"
+)
+
+// StallRun is what became of a class's requests before, during and after a stall of the disk.
+type StallRun struct {
+	When, Class             string
+	Served, Refused, Failed int
+	P50, P99, Max           float64 // milliseconds
+}
+
+// stalling is a folder whose syncs wait while it stalls.
+type stalling struct {
+	folder.Folder
+	mu sync.RWMutex // held while it stalls
+}
+
+type stallingFile struct {
+	folder.File
+	of *stalling
+}
+
+func (s *stalling) Create(name string) (folder.File, error) {
+	f, err := s.Folder.Create(name)
+	if err != nil {
+		return nil, err
+	}
+	return stallingFile{f, s}, nil
+}
+
+func (f stallingFile) Sync() error {
+	f.of.mu.RLock()
+	defer f.of.mu.RUnlock()
+	return f.File.Sync()
+}
+
+// Stall plays reads and bookings against a node in this process whose disk stalls for a while in the middle of it.
+func Stall(ctx context.Context, dir string, seconds float64) ([]StallRun, error) {
+	pool, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	defer pool.Close()
+	go instantPool(pool)
+	cfg, err := settings.ParseConfig([]byte(fmt.Sprintf(labConfig, "127.0.0.1:0", pool.Addr())))
+	if err != nil {
+		return nil, err
+	}
+	path := filepath.Join(dir, "stall")
+	op := settings.Operator{Kept: settings.Kept{Dir: path, Classes: []string{"payout-book"}, Keys: 1e5, DiskMB: 512, SegmentMB: 8,
+		AgeMs: 1e9, DoubtMs: 1e9}}
+	n, err := node.New(cfg, op, io.Discard)
+	if err != nil {
+		return nil, err
+	}
+	var disk *stalling
+	n.KeepIn(func(path string) (folder.Folder, error) {
+		f, err := folder.At(path)
+		disk = &stalling{Folder: f}
+		return disk, err
+	})
+	if err := n.Listen(); err != nil {
+		return nil, err
+	}
+	run, cancel := context.WithCancel(ctx)
+	over := make(chan struct{})
+	go func() {
+		n.Run(run, make(chan os.Signal), make(chan os.Signal), func() (settings.Config, settings.Operator, error) { return cfg, op, nil })
+		close(over)
+	}()
+	defer func() { cancel(); <-over }()
+	if err := waitHealthy(ctx, n.Addr("http")); err != nil {
+		return nil, err
+	}
+	type call struct {
+		at, took float64
+		status   int
+	}
+	var mu sync.Mutex
+	calls := map[string][]call{}
+	begin := time.Now()
+	end := begin.Add(time.Duration(3*seconds*1e3) * time.Millisecond)
+	var wait sync.WaitGroup
+	for i := range 12 {
+		class := []string{"status-lookup", "status-lookup", "payout-book"}[i%3]
+		wait.Go(func() {
+			c, err := dialLab(n.Addr("http"))
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			for time.Now().Before(end) && ctx.Err() == nil {
+				from := time.Now()
+				status, err := c.call(class, true)
+				if err != nil {
+					status = 0
+					if c, err = dialLab(n.Addr("http")); err != nil {
+						return
+					}
+				}
+				mu.Lock()
+				calls[class] = append(calls[class], call{from.Sub(begin).Seconds(), float64(time.Since(from).Microseconds()) / 1e3, status})
+				mu.Unlock()
+				time.Sleep(time.Until(from.Add(20 * time.Millisecond)))
+			}
+		})
+	}
+	time.Sleep(time.Until(begin.Add(time.Duration(seconds*1e3) * time.Millisecond)))
+	disk.mu.Lock()
+	time.Sleep(time.Duration(seconds*1e3) * time.Millisecond)
+	disk.mu.Unlock()
+	wait.Wait()
+	var out []StallRun
+	for i, when := range []string{"well", "stalled", "well again"} {
+		for _, class := range []string{"status-lookup", "payout-book"} {
+			r := StallRun{When: when, Class: class}
+			var took []float64
+			for _, c := range calls[class] {
+				if int(c.at/seconds) != i {
+					continue
+				}
+				took = append(took, c.took)
+				switch c.status {
+				case 200:
+					r.Served++
+				case 503:
+					r.Refused++
+				default:
+					r.Failed++
+				}
+			}
+			if slices.Sort(took); len(took) > 0 {
+				r.P50, r.P99 = stat.Quantile(0.5, stat.Empirical, took, nil), stat.Quantile(0.99, stat.Empirical, took, nil)
+				r.Max = took[len(took)-1]
+			}
+			out = append(out, r)
+		}
+	}
+	return out, nil
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"whinrudder/internal/core"
+	"whinrudder/internal/folder"
 	"whinrudder/internal/front"
 	"whinrudder/internal/h2"
 	"whinrudder/internal/httpfront"
@@ -61,6 +62,7 @@
 	mu      sync.Mutex // of what follows, which a reload changes
 	stopMs  float64
 
+	folderAt  func(path string) (folder.Folder, error)
 	keeper    *kept.Keeper // nil: no results are kept
 	parts     []Part       // what the operator's file turns on, see parts.go
 	peerAddr  string       // of the peer port
@@ -80,13 +82,13 @@
 	if err != nil {
 		return nil, err
 	}
-	kept, err := op.KeptOf(cfg.Settings)
+	kept, err := op.KeptOf(cfg)
 	if err != nil {
 		return nil, err
 	}
 	n := &Node{cfg: cfg, op: op, site: front.NewSite(cfg.Settings.Classes, cfg.Settings.Policy), out: newLogger(log, op.JSONLog), core: c,
 		addrs: map[string]string{}, in: make(chan core.Input, 4096), quit: make(chan struct{}), over: make(chan struct{})}
-	n.site.Kept = kept
+	n.site.Kept, n.folderAt = kept, folder.At
 	n.conns.most = cfg.Sockets - ownSockets
 	n.idle.Store(int64(cfg.Settings.Policy.KeepAlive))
 	n.taking.Store(true)
@@ -98,9 +100,14 @@
 
 func (n *Node) log(word string, pairs ...any) { n.out.event(word, pairs...) }
 
-// limits keeps the process within what the configuration grants it.
-func limits(cfg settings.Config) {
-	runtime.GOMAXPROCS(max(1, int(cfg.Cores)))
+// limits keeps the process within what the configuration grants it. A sync of a disk holds a thread, and with it, for as
+// long as the runtime does not notice, its place among those that run: a node that keeps results has one place more.
+func limits(cfg settings.Config, op settings.Operator) {
+	places := max(1, int(cfg.Cores))
+	if op.Kept.On() {
+		places++
+	}
+	runtime.GOMAXPROCS(places)
 	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
 }
 
@@ -154,7 +161,7 @@
 // Run serves until a signal or the end of ctx makes the node leave and all is answered. At each signal of reload it
 // takes over what load then gives, see reload.go.
 func (n *Node) Run(ctx context.Context, stop, reload <-chan os.Signal, load Load) {
-	limits(n.cfg)
+	limits(n.cfg, n.op)
 	go n.link.run()
 	go n.announce()
 	go n.reloads(reload, load)
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -47,12 +47,15 @@
 	return nil
 }
 
+// KeepIn lets results be kept in folders of another kind than those of the disk. It must be called before Listen.
+func (n *Node) KeepIn(at func(path string) (folder.Folder, error)) { n.folderAt = at }
+
 // keep recovers the operations whose results are kept, before any request is read.
 func (n *Node) keep() error {
 	if !n.op.Kept.On() {
 		return nil
 	}
-	dir, err := folder.At(n.op.Kept.Dir)
+	dir, err := n.folderAt(n.op.Kept.Dir)
 	if err != nil {
 		return err
 	}
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -47,7 +47,7 @@
 	n.mu.Lock()
 	n.stopMs = cfg.StopMs
 	n.mu.Unlock()
-	limits(cfg)
+	limits(cfg, n.op)
 	n.conns.limit(cfg.Sockets - ownSockets)
 	n.link.move(cfg.Pool)
 	n.reports.move(cfg.Announce)
--- a/internal/ops/ops_test.go
+++ b/internal/ops/ops_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -328,3 +329,29 @@
 		}
 	})
 }
+
+// A table that is full at peak: 36,000 subjects kept, requests that name a few of them far more often than the rest and
+// others that are new. Who is known is told, who is new is refused, nobody is forgotten and nothing runs.
+func TestFullAtPeak(t *testing.T) {
+	const subjects = 36000
+	d := newDisk(Limits{Keys: subjects, DiskBytes: 1 << 40, SegmentBytes: 1 << 20, AgeMs: 1e9, DoubtMs: 1e9})
+	for i := range subjects {
+		key := fmt.Sprint("s", i)
+		d.t.Recover(journal.Record{Kind: journal.Finished, Key: key, Run: fmt.Sprint("r", i), At: 1000, Digest: make([]byte, digestSize)},
+			journal.Place{Seg: 1, At: uint32(100 * i), Len: 100})
+	}
+	d.t.Recovered(1000, d.segs)
+	zipf := rand.NewZipf(rand.New(rand.NewPCG(1, 1)), 1.2, 1, 2*subjects)
+	counts := map[Is]int{}
+	for n := range 200000 {
+		subject := zipf.Uint64()
+		v := d.t.Begin(2000, fmt.Sprint("q", n), fmt.Sprint("s", subject), [digestSize]byte{})
+		counts[v.Kind]++
+		if want := map[bool]Verdict{true: {Kind: Served}, false: {Kind: Refused, Why: WhyFull}}[subject < subjects]; v != want {
+			t.Fatalf("s%d: %+v, want %+v", subject, v, want)
+		}
+	}
+	if keys, _, pending, _ := d.t.Counts(); keys != subjects || pending != 0 || counts[Served] == 0 || counts[Refused] == 0 {
+		t.Errorf("%d keys, %d writes, %v", keys, pending, counts)
+	}
+}
--- a/internal/settings/kept.go
+++ b/internal/settings/kept.go
@@ -67,12 +67,15 @@
 	return v
 }
 
-// KeptOf names the classes whose results are kept, by their numbers. Only classes that run once are: the others may run
-// again.
-func (o Operator) KeptOf(s Settings) (names map[int]string, err error) {
+// keyBytes is the memory that an operation takes, its key and its places in the tables included.
+const keyBytes = 400
+
+// KeptOf names the classes whose results are kept, by their numbers, and finds what does not fit a configuration. Only
+// classes that run once are kept: the others may run again. The table may take half of the node's memory.
+func (o Operator) KeptOf(c Config) (names map[int]string, err error) {
 	for _, n := range o.Kept.Classes {
-		i := slices.Index(s.Classes, n)
-		if i < 0 || s.Policy.Classes[i].Repeat != whinrudder.Unsafe {
+		i := slices.Index(c.Settings.Classes, n)
+		if i < 0 || c.Settings.Policy.Classes[i].Repeat != whinrudder.Unsafe {
 			return nil, fmt.Errorf("operator: kept.classes names %q, want a class of the settings that runs once", n)
 		}
 		if names == nil {
@@ -80,5 +83,8 @@
 		}
 		names[i] = n
 	}
+	if mb := float64(o.Kept.Keys) * keyBytes / (1 << 20); mb > float64(c.MemoryMB)/2 {
+		return nil, fmt.Errorf("operator: kept.keys is %d, which takes %.0f MB of the node's %d, want half at most", o.Kept.Keys, mb, c.MemoryMB)
+	}
 	return names, nil
 }
