--- /dev/null
+++ b/internal/emu/workers/workers_test.go
@@ -0,0 +1,290 @@
+package workers
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"gonum.org/v1/gonum/stat/distuv"
+	"pgregory.net/rapid"
+
+	"whinrudder/internal/poolmodel"
+	"whinrudder/internal/vtime"
+)
+
+// queue plays a pool to which runs come by chance, and returns the mean number in it, the mean time that one took and the
+// rate of ends, after a time of warming up.
+func queue(p Params, seed vtime.Seed, rate float64, n int, draw func() float64) (number, took, ends float64) {
+	var k vtime.Kernel
+	arrive := distuv.Exponential{Rate: rate, Src: seed.Split("arrivals", 0).Rand()}
+	in, area, last, from := 0, 0.0, 0.0, -1.0
+	sum, count, begun := 0.0, 0, map[int]bool{}
+	count2 := func(by int) {
+		if from >= 0 {
+			area += float64(in) * (k.Now() - last)
+		}
+		last = k.Now()
+		in += by
+	}
+	l := New(&k, p, func(e Event) {
+		count2(-1)
+		if begun[e.ID] {
+			sum += e.Took
+			count++
+		}
+	})
+	var next vtime.Timer
+	id := 0
+	next.Do = func(now float64) {
+		id++
+		if id == n/10 { // from here on it counts
+			from, last = now, now
+		}
+		count2(1)
+		begun[id] = from >= 0
+		l.Start(id, Work{Run: draw()})
+		if id < n {
+			k.Set(&next, now+arrive.Rand())
+		}
+	}
+	k.Set(&next, 0)
+	for id < n {
+		k.Run(k.Now() + 1000)
+	}
+	return area / (k.Now() - from), sum / float64(count), float64(count) / (k.Now() - from)
+}
+
+func near(t *testing.T, what string, got, want, part float64) {
+	t.Helper()
+	if math.Abs(got-want) > part*want {
+		t.Errorf("%s: %.4f, theory has %.4f (within %.1f%%)", what, got, want, 100*part)
+	}
+}
+
+// erlangC is the chance to find all servers busy in M/M/c (Erlang, 1917).
+func erlangC(c int, a float64) float64 {
+	sum, term := 0.0, 1.0
+	for k := range c {
+		sum += term
+		term *= a / float64(k+1)
+	}
+	top := term / (1 - a/float64(c))
+	return top / (sum + top)
+}
+
+// With exponential work the number in M/M/c is the same whether the cores are shared or queued for: c*rho +
+// C(c,a)*rho/(1-rho). Little's law joins it with the mean time, whatever the work.
+func TestMMcAndLittle(t *testing.T) {
+	for _, c := range []struct {
+		cores int
+		rho   float64
+	}{{1, 0.5}, {1, 0.8}, {4, 0.7}, {16, 0.9}} {
+		t.Run(fmt.Sprint(c.cores, " cores at ", c.rho), func(t *testing.T) {
+			t.Parallel()
+			seed := vtime.Seed(1)
+			work := distuv.Exponential{Rate: 0.01, Src: seed.Split("work", 0).Rand()} // 100 ms in the mean
+			rate := c.rho * float64(c.cores) / 100
+			number, took, ends := queue(Params{Cores: c.cores, Speed: 1, ColdFrom: 1}, seed, rate, 400000, work.Rand)
+			a := c.rho * float64(c.cores)
+			want := a + erlangC(c.cores, a)*c.rho/(1-c.rho)
+			near(t, "number", number, want, 0.03)
+			near(t, "time", took, want/rate, 0.03)
+			near(t, "Little's law", number, ends*took, 0.01)
+		})
+	}
+}
+
+// M/G/1 under processor sharing depends on the mean of the work alone (Kleinrock, Queueing Systems 2, 4.4): the mean time
+// is the mean work over 1-rho.
+func TestMG1PS(t *testing.T) {
+	logNormal := func(cv float64) func(vtime.Seed) func() float64 {
+		return func(s vtime.Seed) func() float64 {
+			v := math.Log(1 + cv*cv)
+			return distuv.LogNormal{Mu: math.Log(100) - v/2, Sigma: math.Sqrt(v), Src: s.Rand()}.Rand
+		}
+	}
+	for name, of := range map[string]func(vtime.Seed) func() float64{
+		"all alike":     func(vtime.Seed) func() float64 { return func() float64 { return 100 } },
+		"log-normal, 2": logNormal(2),
+		"hyper": func(s vtime.Seed) func() float64 {
+			r := s.Rand()
+			return func() float64 {
+				if r.Float64() < 0.1 {
+					return 550 * r.ExpFloat64()
+				}
+				return 50 * r.ExpFloat64()
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			seed := vtime.Seed(3)
+			number, took, _ := queue(Params{Cores: 1, Speed: 1, ColdFrom: 1}, seed, 0.007, 500000, of(seed.Split("work", 0)))
+			near(t, "time", took, 100/(1-0.7), 0.04)
+			near(t, "number", number, 0.7/(1-0.7), 0.04)
+		})
+	}
+}
+
+// The pool agrees with the older model that moves in steps, in what it does and, within steps, when.
+func TestAgreesWithTheModelInSteps(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := Params{Cores: rapid.IntRange(1, 6).Draw(t, "cores"), Speed: rapid.Float64Range(0.5, 1.5).Draw(t, "speed"),
+			ColdFrom: rapid.SampledFrom([]float64{0.2, 0.6, 1}).Draw(t, "cold from"), Ramp: 5000, CrowdAt: 2, CrowdLoss: 0.05, FallWindow: 1500}
+		const tick = 0.25
+		var k vtime.Kernel
+		type ended struct {
+			kind Kind
+			id   int
+		}
+		got, want := map[ended]float64{}, map[ended]float64{}
+		l := New(&k, p, func(e Event) { got[ended{e.Kind, e.ID}] = k.Now() })
+		old := poolmodel.New(poolmodel.Params{Cores: p.Cores, Speed: p.Speed, ColdFrom: p.ColdFrom, Ramp: p.Ramp, CrowdAt: p.CrowdAt,
+			CrowdLoss: p.CrowdLoss, FallWindow: p.FallWindow, Tick: tick}, 0)
+		take := func(now float64) {
+			for _, e := range old.Step(now) {
+				want[ended{Kind(e.Kind), e.ID}] = now
+			}
+		}
+		now, run := 0.0, []int{}
+		for id := range rapid.IntRange(1, 20).Draw(t, "requests") {
+			w := Work{Read: rapid.Float64Range(1, 50).Draw(t, "read"), Run: rapid.Float64Range(1, 300).Draw(t, "run"),
+				Sleep: rapid.SampledFrom([]float64{0, 100}).Draw(t, "sleep")}
+			to := now + float64(rapid.IntRange(0, 200).Draw(t, "ms"))
+			for ; now < to; now += tick {
+				take(now)
+			}
+			k.Run(now)
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				l.Arrive(id, w)
+				old.Arrive(id, poolmodel.Work(w))
+			case 1:
+				if len(run) > 0 && l.runs[run[0]] != nil && old.Stop(run[0]) {
+					l.Stop(run[0])
+					run = run[1:]
+				}
+			default:
+				l.Start(id, w)
+				old.Start(id, poolmodel.Work(w))
+				run = append(run, id)
+			}
+		}
+		for end := now + 60000; now < end && len(want) < len(got)+40; now += tick {
+			take(now)
+		}
+		k.Run(now)
+		if len(got) != len(want) {
+			t.Fatalf("%v, the model in steps has %v", got, want)
+		}
+		for e, at := range want {
+			if d := math.Abs(got[e] - at); d > 0.02*at+20*tick {
+				t.Fatalf("%v at %v, the model in steps at %v", e, got[e], at)
+			}
+		}
+	})
+}
+
+// What a pool does with one request, by hand: waits, crawls, pauses, a cold start, a stop and a fall.
+func TestOneByOne(t *testing.T) {
+	type step struct {
+		at float64
+		do func(l *Pool)
+	}
+	for _, c := range []struct {
+		name  string
+		p     Params
+		steps []step
+		want  []string
+	}{
+		{"a run with a wait", Params{Cores: 2, Speed: 2, ColdFrom: 1},
+			[]step{{0, func(l *Pool) { l.Start(1, Work{Run: 100, Sleep: 30}) }}}, []string{"80 done 1 took 80"}},
+		{"reading one a core", Params{Cores: 1, Speed: 1, ColdFrom: 1},
+			[]step{{0, func(l *Pool) { l.Arrive(1, Work{Read: 10}); l.Arrive(2, Work{Read: 10}) }}}, []string{"10 read 1", "20 read 2"}},
+		{"a crawl", Params{Cores: 1, Speed: 1, ColdFrom: 1},
+			[]step{{0, func(l *Pool) { l.Start(1, Work{Run: 100}) }}, {50, func(l *Pool) { l.Crawl(5) }}}, []string{"300 done 1 took 300"}},
+		{"a pause", Params{Cores: 1, Speed: 1, ColdFrom: 1},
+			[]step{{0, func(l *Pool) { l.Start(1, Work{Run: 100}) }}, {50, func(l *Pool) { l.Pause(true) }}, {400, func(l *Pool) { l.Pause(false) }}},
+			[]string{"450 done 1 took 450"}},
+		{"a stop", Params{Cores: 1, Speed: 1, ColdFrom: 1},
+			[]step{{0, func(l *Pool) { l.Start(1, Work{Run: 100}); l.Start(2, Work{Run: 100}) }}, {50, func(l *Pool) { l.Stop(1); l.Stop(1) }}},
+			[]string{"50 stopped 1 took 50", "125 done 2 took 125"}},
+		{"crowding", Params{Cores: 1, Speed: 1, ColdFrom: 1, CrowdAt: 1, CrowdLoss: 0.5},
+			[]step{{0, func(l *Pool) { l.Start(1, Work{Run: 100}); l.Start(2, Work{Run: 100}) }}},
+			[]string{"300 done 1 took 300", "300 done 2 took 300"}},
+		{"a fall: the mean of 4 passes 2 after 1500*ln(4/2)", Params{Cores: 1, Speed: 1, ColdFrom: 1, FallAt: 2, FallWindow: 1500},
+			[]step{{0, func(l *Pool) {
+				for id := range 4 {
+					l.Start(id, Work{Run: 1e6})
+				}
+			}}, {2000, func(l *Pool) { l.Start(9, Work{Run: 1}) }}}, []string{"1040 fell"}},
+		{"no fall: it ends before", Params{Cores: 1, Speed: 1, ColdFrom: 1, FallAt: 2, FallWindow: 1500},
+			[]step{{0, func(l *Pool) {
+				for id := range 4 {
+					l.Start(id, Work{Run: 250})
+				}
+			}}}, []string{"1000 done 0 took 1000", "1000 done 1 took 1000", "1000 done 2 took 1000", "1000 done 3 took 1000"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var k vtime.Kernel
+			var got []string
+			words := map[Kind]string{Read: "read", Done: "done", Stopped: "stopped", Fell: "fell"}
+			l := New(&k, c.p, func(e Event) {
+				s := fmt.Sprintf("%.0f %s", k.Now(), words[e.Kind])
+				if e.Kind != Fell {
+					s += fmt.Sprint(" ", e.ID)
+				}
+				if e.Took > 0 {
+					s += fmt.Sprintf(" took %.0f", e.Took)
+				}
+				got = append(got, s)
+			})
+			for _, s := range c.steps {
+				k.Run(s.at)
+				s.do(l)
+			}
+			k.Run(1e6)
+			slices.Sort(got)
+			slices.Sort(c.want)
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+	var k vtime.Kernel
+	l := New(&k, Params{Cores: 1, Speed: 1, ColdFrom: 0.2, Ramp: 10000}, func(e Event) {
+		near(t, "a cold start", e.Took, 6972, 0.01) // the integral of its speed is the work
+	})
+	l.Start(1, Work{Run: 0.2*6972 + 0.8*6972*6972/2/10000})
+	k.Run(20000)
+	if !(l.Warm() == 1) {
+		t.Error("it is not warm")
+	}
+}
+
+// BenchmarkRun is the life of a run, with so many others on the cores.
+func BenchmarkRun(b *testing.B) {
+	for _, n := range []int{1, 10, 100, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var k vtime.Kernel
+			id := 0
+			var l *Pool
+			start := func() {
+				id++
+				l.Start(id, Work{Run: 50 + float64(id*7919%100), Sleep: 10})
+			}
+			l = New(&k, Params{Cores: 8, Speed: 1, ColdFrom: 1}, func(Event) { start() })
+			for range n {
+				start()
+			}
+			for b.Loop() {
+				for was := id; id == was; {
+					at, _ := k.Next()
+					k.Run(at)
+				}
+			}
+		})
+	}
+}
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -26,6 +26,14 @@
 // Len returns how many there are.
 func (h *Heap[T]) Len() int { return len(h.all) }
 
+// First returns the time of the first entry; ok is false if there is none.
+func (h *Heap[T]) First() (at float64, ok bool) {
+	if len(h.all) == 0 {
+		return 0, false
+	}
+	return h.all[0].at, true
+}
+
 // Set puts an entry in, or moves it to another time.
 func (h *Heap[T]) Set(d *Due[T], at float64) {
 	d.at = at
