Write down the rivals: AIMD, gradient2, Vegas, CoDel, fixed, none, and a client's throttle

The emulator compares the decision module with what the field knows, through one interface: the inputs and outputs of the core, which the core itself satisfies. Rules by their sources, checked by hand; on random legal events each rival gives one answer by the due time, runs nothing too late in a drain and nothing beyond its limit (rapid, go test ./internal/emu/rivals).

--- /dev/null
+++ b/internal/emu/rivals/rivals_test.go
@@ -0,0 +1,217 @@
+package rivals
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"whinrudder"
+	"whinrudder/internal/core"
+)
+
+var _ Node = (*core.Core)(nil) // the inherited module goes through the same interface
+
+type sink struct{}
+
+func (sink) Deliver(core.Answer) {}
+
+func all() map[string]func() *Server {
+	return map[string]func() *Server{
+		"no limit":  func() *Server { return NewServer(None{}, FIFO{}, 1000, 2000) },
+		"fixed":     func() *Server { return NewServer(Fixed(4), FIFO{}, 8, 2000) },
+		"codel":     func() *Server { return NewServer(Fixed(4), NewCoDel(10), 1000, 2000) },
+		"aimd":      func() *Server { return NewServer(NewAIMD(4, 500), FIFO{}, 20, 2000) },
+		"gradient2": func() *Server { return NewServer(NewGradient2(4), FIFO{}, 20, 2000) },
+		"vegas":     func() *Server { return NewServer(NewVegas(4), FIFO{}, 20, 2000) },
+	}
+}
+
+// Every rival keeps the rules on any events: one answer to each request by its due time, no run after an answer or of what
+// came too late in a drain, none beyond the limit, and nothing left behind.
+func TestRulesOfAllRivals(t *testing.T) {
+	for name, make := range all() {
+		t.Run(name, func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				s := make()
+				now, n := 1000.0, 0
+				type req struct {
+					came, due float64
+					answers   int
+					gone      bool
+					runs      bool
+				}
+				reqs := map[string]*req{}
+				running := []string{}
+				notice, stop := math.Inf(1), math.Inf(1)
+				step := func(in ...core.Input) {
+					for _, o := range s.Step(now, in) {
+						switch o := o.(type) {
+						case core.Reply:
+							r := reqs[o.ID]
+							if r.answers++; r.answers > 1 || r.gone {
+								t.Fatalf("%s has %d answers, gone %v", o.ID, r.answers, r.gone)
+							}
+							if o.Outcome == core.Refused && r.runs {
+								t.Fatalf("%s is refused after it ran", o.ID)
+							}
+						case core.Spawn:
+							r := reqs[o.ID]
+							if r.runs || r.answers > 0 || r.gone || r.came > notice+2000 {
+								t.Fatalf("%s is run: %+v", o.ID, r)
+							}
+							r.runs = true
+							running = append(running, o.ID)
+							if float64(len(running)) > max(1, s.limiter.Limit()) {
+								t.Fatalf("%d run, the limit is %v, it counts %d", len(running), s.limiter.Limit(), s.running)
+							}
+						}
+					}
+					for id, r := range reqs {
+						if r.answers == 0 && !r.gone && now > r.due {
+							t.Fatalf("%s was due at %v, it is %v", id, r.due, now)
+						}
+					}
+				}
+				for range rapid.IntRange(10, 150).Draw(t, "steps") {
+					to := now + float64(rapid.IntRange(0, 80).Draw(t, "ms"))
+					for at := s.Next(); at > 0 && at <= to; at = s.Next() {
+						now = max(now, at)
+						step()
+					}
+					now = to
+					switch what := rapid.IntRange(0, 9).Draw(t, "what"); {
+					case what < 5:
+						n++
+						id := fmt.Sprint("r", n)
+						r := &req{came: now, due: min(now+float64(rapid.IntRange(1, 900).Draw(t, "wait")), stop)}
+						reqs[id] = r
+						step(core.Arrived{Request: &core.Request{ID: id, Came: now, Due: r.due, To: sink{}}})
+					case what < 8 && len(running) > 0:
+						i := rapid.IntRange(0, len(running)-1).Draw(t, "which")
+						id := running[i]
+						running = append(running[:i], running[i+1:]...)
+						end := core.End(rapid.IntRange(0, 3).Draw(t, "how"))
+						step(core.Finished{ID: id, End: end, Took: float64(rapid.IntRange(1, 900).Draw(t, "took"))})
+					case what == 8:
+						for id, r := range reqs {
+							if !r.gone && r.answers == 0 && id == fmt.Sprint("r", n) {
+								r.gone = true
+								step(core.Left{ID: id})
+							}
+						}
+					case what == 9 && math.IsInf(notice, 1) && rapid.IntRange(0, 5).Draw(t, "leave") == 0:
+						notice, stop = now, now+3000
+						for _, r := range reqs {
+							r.due = min(r.due, stop)
+						}
+						step(core.Leave{StopAt: stop})
+					}
+				}
+				finish := func() {
+					for len(running) > 0 {
+						id := running[0]
+						running = running[1:]
+						step(core.Finished{ID: id, End: core.EndOK, Took: 5})
+					}
+				}
+				finish()
+				for at := s.Next(); at > 0; at = s.Next() {
+					now = max(now, at)
+					step()
+					finish()
+				}
+				if s.Open() != 0 || len(s.reqs) > len(running) {
+					t.Fatalf("%d open, %d kept", s.Open(), len(s.reqs))
+				}
+			})
+		})
+	}
+}
+
+// Each rule does what its source says, by hand.
+func TestRulesByHand(t *testing.T) {
+	a := NewAIMD(10, 100)
+	a.Sample(0, 50, 5, true)
+	a.Sample(0, 50, 2, true) // the limit is not in use
+	a.Sample(0, 101, 11, true)
+	if a.Limit() != 9 {
+		t.Errorf("AIMD: %v, want 11 down to 9", a.Limit())
+	}
+	g := NewGradient2(20)
+	for range 200 {
+		g.Sample(0, 100, int(g.Limit()), true)
+	}
+	steady := g.Limit()
+	for range 20 {
+		g.Sample(0, 400, int(g.Limit()), true)
+	}
+	if steady < 150 || g.Limit() > steady*0.6 {
+		t.Errorf("gradient2: %v steady, %v at four times the latency", steady, g.Limit())
+	}
+	v := NewVegas(20)
+	v.Sample(0, 100, 20, true)
+	v.Sample(0, 100.1, 20, true) // a queue of ceil(20*0.001) = 1 is under log10(20) = 1.3
+	if want := 20 + 6*math.Log10(20); math.Abs(v.Limit()-want) > 1e-9 {
+		t.Errorf("vegas: %v, want %v", v.Limit(), want)
+	}
+	before := v.Limit()
+	v.Sample(0, 200, 28, true) // half of the limit waits
+	if want := before - math.Log10(before); math.Abs(v.Limit()-want) > 1e-9 {
+		t.Errorf("vegas: %v, want %v", v.Limit(), want)
+	}
+	c := NewCoDel(1)
+	c.Empty(0)
+	if run, drop := c.Take(50, []Waiting{{Came: 10}, {Came: 40}}); run != 0 || drop != nil {
+		t.Errorf("codel at ease: %d %v", run, drop)
+	}
+	if run, drop := c.Take(150, []Waiting{{Came: 100}, {Came: 146}, {Came: 148}}); run != 2 || len(drop) != 1 {
+		t.Errorf("codel in overload: %d %v, want the newest, and the oldest given up", run, drop)
+	}
+	if run, drop := c.Take(200, []Waiting{{Came: 100}}); run != -1 || len(drop) != 1 {
+		t.Errorf("codel: %d %v", run, drop)
+	}
+	th, rng, refused := NewThrottle(), rand.New(rand.NewPCG(1, 1)), 0
+	for i := range 4000 { // a node that accepts a quarter of what reaches it
+		if th.Refuse(float64(i), rng.Float64()) {
+			refused++
+		} else if rng.IntN(4) == 0 {
+			th.Accepted(float64(i))
+		}
+	}
+	// With a quarter accepted the share that is sent is half of itself: it goes to 0, as the book's rule has it.
+	if refused < 1500 || refused > 3900 {
+		t.Errorf("throttle: %d of 4000 refused", refused)
+	}
+	th = NewThrottle()
+	for i := range 4000 {
+		if th.Refuse(float64(i), rng.Float64()) {
+			t.Fatal("a request is turned away though all are accepted")
+		}
+		th.Accepted(float64(i))
+	}
+}
+
+// The core serves behind the same interface.
+func TestTheCoreIsANode(t *testing.T) {
+	c, err := core.New(whinrudder.Settings{Cores: 1, Memory: 1e6, Tick: 2, Halt: whinrudder.HaltAbort, Say: whinrudder.SayWindow, PassesDeadline: true,
+		Rules:   whinrudder.Rules{FallMultiple: 8},
+		Classes: []whinrudder.Class{{Aim: 1000, Deadline: 2000, Worth: 1, Repeat: whinrudder.Safe}}}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, n := range []Node{c, NewServer(Fixed(1), FIFO{}, 1, 2000)} {
+		n.Step(1000, []core.Input{core.Bound{}, core.Synced{}})
+		starts := 0
+		for _, o := range n.Step(1000, []core.Input{core.Arrived{Request: &core.Request{ID: "a", Came: 1000, Due: 2500, KB: 1, To: sink{}}}}) {
+			if _, ok := o.(core.Spawn); ok {
+				starts++
+			}
+		}
+		if starts != 1 || n.Open() != 1 {
+			t.Errorf("%T: %d starts, %d open", n, starts, n.Open())
+		}
+	}
+}
