--- /dev/null
+++ b/internal/emu/fleet/fleet_test.go
@@ -0,0 +1,141 @@
+package fleet
+
+import (
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"whinrudder"
+	"whinrudder/internal/core"
+	"whinrudder/internal/emu/rivals"
+	"whinrudder/internal/vtime"
+)
+
+// small is a day of a few nodes with all troubles, some of them at once.
+func small(seed int) Day {
+	d := Usual(vtime.Seed(seed))
+	d.Nodes, d.Ms = 5, 30000
+	d.Troubles = []Trouble{{Kind: Burst, At: 3000, For: 4000, Factor: 1.5}, {Kind: Crash, At: 6000, For: 5000, Share: 0.2},
+		{Kind: Crawl, At: 10000, For: 8000, Share: 0.22, Factor: 6}, {Kind: Deploy, At: 14000, For: 10000, Share: 0.8},
+		{Kind: Pause, At: 20000, For: 400, Share: 0.4}}
+	return d
+}
+
+func fixed(whinrudder.Settings, uint64) (rivals.Node, error) {
+	return rivals.NewServer(rivals.Fixed(12), rivals.FIFO{}, 24, 2000), nil
+}
+
+// A day gives the same, to the last byte, whenever it is played, on any number of workers and processors.
+func TestTheSameSeedGivesTheSameDay(t *testing.T) {
+	tell := func(i int) string { return fmt.Sprintf("%+v", Play(small(i), Module)) }
+	want := vtime.Each(6, 1, tell)
+	for _, workers := range []int{1, 4} {
+		for _, procs := range []int{1, 4} {
+			before := runtime.GOMAXPROCS(procs)
+			if diff := cmp.Diff(want, vtime.Each(6, workers, tell)); diff != "" {
+				t.Errorf("%d workers on %d processors: %s", workers, procs, diff)
+			}
+			runtime.GOMAXPROCS(before)
+		}
+	}
+	if want[0] == want[1] {
+		t.Error("two seeds give one day")
+	}
+}
+
+// The module and the rivals keep the rules on days with all troubles, and the figures of a day agree with each other.
+func TestRulesAndFigures(t *testing.T) {
+	for name, make := range map[string]Make{"module": Module, "fixed": fixed} {
+		for _, r := range vtime.Each(12, runtime.GOMAXPROCS(0), func(i int) Result { return Play(small(i), make) }) {
+			if len(r.Broken) > 0 {
+				t.Errorf("%s: %s", name, strings.Join(r.Broken, "\n"))
+			}
+			asked, got := 0.0, 0.0
+			for _, b := range r.Bins {
+				asked, got = asked+b.Asked, got+b.Got
+			}
+			if d := got/asked - r.Whole; d > 1e-9 || d < -1e-9 || r.Goal > r.Whole+1e-9 && r.WorstClass > r.Whole || r.Tries < r.Requests-r.Withheld ||
+				r.Waste < 0 || r.Waste > 1 || r.P50 > r.P99 || r.Requests < 500 {
+				t.Errorf("%s: %+v", name, r)
+			}
+		}
+	}
+}
+
+// A calm day is served nearly whole, and one that asks for twice what there is can't be.
+func TestCalmAndOverloaded(t *testing.T) {
+	calm := Usual(1)
+	calm.Ms, calm.Load = 20000, 0.4
+	if r := Play(calm, Module); r.Whole < 0.98 || r.Fell > 0 {
+		t.Errorf("calm: %.3f, %d fell", r.Whole, r.Fell)
+	}
+	calm.Load = 2
+	if r := Play(calm, Module); r.Whole > 0.75 || r.Whole < 0.2 || r.Fell > 0 {
+		t.Errorf("overloaded: %.3f, %d fell", r.Whole, r.Fell)
+	}
+	calm.FallAt = 3
+	if r := Play(calm, func(whinrudder.Settings, uint64) (rivals.Node, error) {
+		return rivals.NewServer(rivals.None{}, rivals.FIFO{}, 1e6, 2000), nil
+	}); r.Fell == 0 {
+		t.Errorf("nothing falls without a limit: %.3f", r.Whole)
+	}
+}
+
+// faulty breaks a rule on purpose, once in a while.
+type faulty struct {
+	rivals.Node
+	what string
+	n    int
+}
+
+func (f *faulty) Step(now float64, in []core.Input) []core.Output {
+	out := append([]core.Output{}, f.Node.Step(now, in)...)
+	for i, o := range out {
+		_, reply := o.(core.Reply)
+		spawn, start := o.(core.Spawn)
+		if reply || start {
+			f.n++
+		}
+		switch {
+		case f.n%50 != 0:
+		case reply && f.what == "twice":
+			return append(out, o)
+		case reply && f.what == "lost":
+			return append(out[:i], out[i+1:]...)
+		case start && f.what == "duplicate":
+			return append(out, spawn)
+		}
+	}
+	return out
+}
+
+// A rule that is broken on purpose is found, by its name and with the history of the request.
+func TestBrokenRulesAreNamed(t *testing.T) {
+	for _, what := range []string{"twice", "lost", "duplicate"} {
+		r := Play(small(1), func(s whinrudder.Settings, seed uint64) (rivals.Node, error) {
+			n, err := Module(s, seed)
+			return &faulty{Node: n, what: what}, err
+		})
+		if len(r.Broken) == 0 || !strings.HasPrefix(r.Broken[0], what+": ") || !strings.Contains(r.Broken[0], "read; ") {
+			t.Errorf("%s: %v", what, r.Broken)
+		}
+	}
+}
+
+// BenchmarkDay is a minute of the operators' usual fleet.
+func BenchmarkDay(b *testing.B) {
+	for _, n := range []int{4, 14, 40} {
+		b.Run(fmt.Sprint(n, " nodes"), func(b *testing.B) {
+			requests := 0
+			for b.Loop() {
+				d := Usual(1)
+				d.Nodes = n
+				requests += Play(d, Module).Requests
+			}
+			b.ReportMetric(float64(requests)/b.Elapsed().Seconds(), "requests/s")
+		})
+	}
+}
--- /dev/null
+++ b/internal/emu/fleet/server.go
@@ -0,0 +1,324 @@
+package fleet
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+
+	"whinrudder"
+	"whinrudder/internal/core"
+	"whinrudder/internal/emu/rivals"
+	"whinrudder/internal/emu/workers"
+	"whinrudder/internal/vtime"
+)
+
+// Make makes a node of a fleet.
+type Make func(s whinrudder.Settings, seed uint64) (rivals.Node, error)
+
+// Module makes nodes with the inherited module.
+func Module(s whinrudder.Settings, seed uint64) (rivals.Node, error) { return core.New(s, seed) }
+
+// server is a place in the fleet and the node that has it now.
+type server struct {
+	p      *play
+	no     int
+	params workers.Params
+
+	up       bool // it takes connections
+	draining bool
+	listed   bool // callers see it
+	notice   float64
+	crawl    float64
+	life     int
+	node     rivals.Node
+	pool     *workers.Pool
+	in       []core.Input
+	stepping bool
+	tick     vtime.Timer
+	tries    map[int]*try // in hand, by number
+	trust    int          // changes of the list that are on their way
+}
+
+// try is one request of a caller to a node.
+type try struct {
+	n        int
+	q        *ask
+	s        *server
+	life     int
+	sent     float64
+	due      float64 // its caller waits until then
+	came     float64 // it reached the machine; 0: not yet
+	read     bool
+	answered bool // by the node
+	gone     bool // its caller gave up
+	ran      bool
+	closed   bool // for the caller
+	wait     vtime.Timer
+	history  []mark
+}
+
+// mark is a step in the life of a try.
+type mark struct {
+	at   float64
+	what string
+}
+
+func (t *try) mark(what string) { t.history = append(t.history, mark{t.s.p.k.Now(), what}) }
+
+// start brings a node up in its place.
+func (s *server) start(cold bool) {
+	s.life++
+	life := s.life
+	set := s.p.day.Settings(cold)
+	node, err := s.p.make(set, uint64(s.p.day.Seed.Split("node", s.no*1000+life)))
+	if err != nil {
+		s.p.broke("node %d: %v", s.no, err)
+		return
+	}
+	params := s.params
+	if !cold {
+		params.ColdFrom = 1
+	}
+	s.node, s.in, s.tries = node, nil, map[int]*try{}
+	s.up, s.draining, s.notice = true, false, math.Inf(1)
+	s.pool = workers.New(&s.p.k, params, func(e workers.Event) {
+		if s.life == life {
+			s.happened(e)
+		}
+	})
+	s.pool.Crawl(s.crawl)
+	s.tick.Do = func(float64) { s.step() }
+	s.tell(core.Bound{Cold: cold}, core.Synced{})
+	s.list(true)
+}
+
+// list lets callers hear of a change, late.
+func (s *server) list(on bool) {
+	s.trust++
+	turn := s.trust
+	s.p.k.After(s.p.day.ListLag, func(float64) {
+		if turn == s.trust {
+			s.listed = on
+		}
+	})
+}
+
+// die ends a node at once. Its callers see their connections reset.
+func (s *server) die(why string) {
+	if !s.up {
+		return
+	}
+	s.up = false
+	s.life++
+	s.p.k.Cancel(&s.tick)
+	s.list(false)
+	for _, n := range sorted(s.tries) {
+		t := s.tries[n]
+		t.mark(why)
+		s.p.k.After(s.p.delay(), func(float64) { s.p.heard(t, reply{lost: true}) })
+	}
+	s.tries = map[int]*try{}
+	s.node, s.pool = nil, nil
+}
+
+// leave tells a node to drain; it is replaced at once, by a node that starts cold in the same place once it is over.
+func (s *server) leave() {
+	if !s.up || s.draining {
+		return
+	}
+	s.draining, s.notice = true, s.p.k.Now()
+	life := s.life
+	s.tell(core.Leave{StopAt: s.notice + s.p.day.Stop})
+	s.list(false)
+	s.p.k.After(s.p.day.Stop, func(float64) { s.over(life) })
+}
+
+// over ends a node that has drained, and starts its successor.
+func (s *server) over(life int) {
+	if s.life != life {
+		return
+	}
+	for _, n := range sorted(s.tries) {
+		if t := s.tries[n]; t.read && !t.answered && !t.gone {
+			s.p.broke("drain: %s was read and is not answered at the stop: %s", t.name(), t.tale())
+		}
+	}
+	s.die("stopped")
+	s.start(true)
+}
+
+// tell hands something to the node.
+func (s *server) tell(in ...core.Input) {
+	s.in = append(s.in, in...)
+	s.step()
+}
+
+// step lets the node take what there is.
+func (s *server) step() {
+	if s.stepping || s.node == nil {
+		return
+	}
+	s.stepping = true
+	life, now := s.life, s.p.k.Now()
+	for s.life == life {
+		in := s.in
+		s.in = nil
+		next := s.node.Next()
+		if len(in) == 0 && (next == 0 || next > now) {
+			break
+		}
+		over := false
+		for _, o := range s.node.Step(now, in) {
+			if s.life != life {
+				break
+			}
+			if _, is := o.(core.Over); is {
+				over = true
+				break
+			}
+			s.carry(o)
+		}
+		if over {
+			s.stepping = false
+			s.over(life)
+			return
+		}
+	}
+	s.stepping = false
+	if s.life == life && s.node != nil {
+		if next := s.node.Next(); next > 0 {
+			s.p.k.Set(&s.tick, next)
+		}
+	}
+}
+
+func (t *try) name() string { return fmt.Sprintf("%016x", t.n) }
+
+// Deliver is the sink of answers; they are carried where the outputs are.
+func (t *try) Deliver(core.Answer) {}
+
+// happened takes what the worker pool tells.
+func (s *server) happened(e workers.Event) {
+	switch e.Kind {
+	case workers.Read:
+		t := s.tries[e.ID]
+		if t == nil {
+			return
+		}
+		t.read = true
+		t.mark("read")
+		if t.gone {
+			delete(s.tries, t.n)
+			return
+		}
+		s.tell(core.Arrived{Request: &core.Request{ID: t.name(), Class: t.q.class, Caller: t.q.caller, Came: t.came, Due: t.due, KB: t.q.kb,
+			Rank: t.q.rank, To: t}})
+	case workers.Done:
+		s.ended(e, core.EndOK)
+	case workers.Stopped:
+		s.ended(e, core.EndStopped)
+	case workers.Fell:
+		s.p.fell++
+		s.die("fell")
+		s.p.k.After(s.p.day.Ramp.Low, func(float64) { s.start(true) })
+	}
+}
+
+func (s *server) ended(e workers.Event, end core.End) {
+	s.tell(core.Finished{ID: s.p.all[e.ID].name(), End: end, Took: e.Took})
+}
+
+// carry does what the node wants.
+func (s *server) carry(o core.Output) {
+	switch o := o.(type) {
+	case core.Reply:
+		t, ok := o.To.(*try)
+		if !ok {
+			return
+		}
+		now := s.p.k.Now()
+		if t.answered {
+			s.p.broke("twice: %s has two answers: %s", t.name(), t.tale())
+			return
+		}
+		t.answered = true
+		t.mark([...]string{"served", "refused", "failed", "doubled", "unlike"}[o.Outcome])
+		if now > t.due+s.p.day.slack() {
+			s.p.broke("lost: %s was due at %.0f and is answered at %.0f: %s", t.name(), t.due, now, t.tale())
+		}
+		if o.Outcome == core.Refused && t.ran {
+			s.p.broke("lost: %s is refused though it ran: %s", t.name(), t.tale())
+		}
+		delete(s.tries, t.n)
+		r := reply{outcome: o.Outcome, load: o.Load, wait: o.Wait}
+		s.p.k.After(s.p.delay(), func(float64) { s.p.heard(t, r) })
+	case core.Spawn:
+		n, _ := strconv.ParseInt(o.ID, 16, 64)
+		t := s.p.all[n]
+		switch {
+		case t.ran:
+			s.p.broke("duplicate: %s runs twice: %s", t.name(), t.tale())
+			return
+		case t.came > s.notice+s.p.day.Drain+50:
+			s.p.broke("drain: %s came too late to be run: %s", t.name(), t.tale())
+		}
+		t.ran = true
+		t.mark("run")
+		if t.q.write {
+			if t.q.runs++; t.q.runs > 1 {
+				s.p.again++ // by two tries: what callers do, not a broken rule
+			}
+		}
+		s.p.started += t.q.work.Run
+		s.pool.Start(t.n, t.q.work)
+	case core.Suspend:
+		n, _ := strconv.ParseInt(o.ID, 16, 64)
+		s.pool.Stop(int(n))
+	case core.Poll:
+		life := s.life
+		s.p.k.After(gaugeAfter, func(float64) {
+			if s.life == life {
+				s.tell(core.Gauged{Gauges: whinrudder.Gauges{CPU: s.pool.Busy(), Runnable: float64(s.pool.On()), Memory: 0.1, Conns: 4}})
+			}
+		})
+	}
+}
+
+// arrive brings a try to the machine.
+func (s *server) arrive(t *try) {
+	if !s.up || s.life != t.life {
+		if !s.up {
+			s.p.k.After(s.p.delay(), func(float64) { s.p.heard(t, reply{refused: true}) })
+			return
+		}
+		t.life = s.life // a successor took the place meanwhile
+	}
+	t.came = s.p.k.Now()
+	t.mark("came")
+	s.tries[t.n] = t
+	s.pool.Arrive(t.n, t.q.work)
+}
+
+// gone tells the node that a caller gave up, after the time that the rules leave for an answer.
+func (s *server) gone(t *try) {
+	if t.read && !t.answered && s.life == t.life {
+		s.p.broke("lost: %s has no answer by its due time: %s", t.name(), t.tale())
+	}
+	t.gone = true
+	t.mark("gone")
+	if s.life != t.life || s.tries[t.n] == nil {
+		return
+	}
+	if t.read {
+		delete(s.tries, t.n)
+		s.tell(core.Left{ID: t.name()})
+	}
+}
+
+// tale is the whole history of a try.
+func (t *try) tale() (text string) {
+	for _, m := range t.history {
+		text += fmt.Sprintf("%.1f %s; ", m.at, m.what)
+	}
+	return fmt.Sprintf("node %d life %d, %ssent %.1f, due %.1f", t.s.no, t.life, text, t.sent, t.due)
+}
