--- a/internal/emu/fleet/fleet_test.go
+++ b/internal/emu/fleet/fleet_test.go
@@ -125,17 +125,22 @@
 	}
 }
 
-// BenchmarkDay is a minute of the operators' usual fleet.
+// BenchmarkDay is a time of the operators' usual fleet, or of larger ones with callers in proportion.
 func BenchmarkDay(b *testing.B) {
-	for _, n := range []int{4, 14, 40} {
-		b.Run(fmt.Sprint(n, " nodes"), func(b *testing.B) {
+	for _, c := range []struct{ nodes, callers, seconds int }{{4, 4, 60}, {14, 4, 60}, {40, 12, 60}, {400, 120, 10}, {1000, 300, 10}} {
+		b.Run(fmt.Sprint(c.nodes, " nodes"), func(b *testing.B) {
 			requests := 0
 			for b.Loop() {
 				d := Usual(1)
-				d.Nodes = n
+				d.Nodes, d.Ms = c.nodes, 1000*float64(c.seconds)
+				for len(d.Callers) < c.callers {
+					d.Callers = append(d.Callers, d.Callers[len(d.Callers)%4])
+				}
 				requests += Play(d, Module).Requests
 			}
-			b.ReportMetric(float64(requests)/b.Elapsed().Seconds(), "requests/s")
+			took := b.Elapsed().Seconds()
+			b.ReportMetric(float64(requests)/took, "requests/s")
+			b.ReportMetric(float64(b.N*c.seconds)/took, "virtual-s/s")
 		})
 	}
 }
--- a/internal/emu/fleet/play.go
+++ b/internal/emu/fleet/play.go
@@ -240,15 +240,14 @@
 func (p *play) choose(c *caller, q *ask) int {
 	now := p.k.Now()
 	best, least := -1, math.Inf(1)
-	fresh := len(q.tried)%p.day.Nodes == 0 // all were tried: the list begins anew
+	last := q.tried[len(q.tried)-len(q.tried)%p.day.Nodes:] // once all were tried the list begins anew
 	for i := range p.servers {
 		n := (c.turn + i) % len(p.servers)
 		if c.Choice == ByKey {
 			n = (q.subject*7919 + i) % len(p.servers)
 		}
 		v := &c.seen[n]
-		last := q.tried[len(q.tried)-len(q.tried)%p.day.Nodes:]
-		if !p.servers[n].listed || !fresh && slices.Contains(last, n) || c.Heeds && (v.away > now || !v.allows(now, q.coin)) {
+		if !p.servers[n].listed || len(last) > 0 && slices.Contains(last, n) || c.Heeds && (v.away > now || !v.allows(now, q.coin)) {
 			continue
 		}
 		cost := 0.0
@@ -263,6 +262,9 @@
 		if cost < least {
 			best, least = n, cost
 		}
+		if c.Choice == Round || c.Choice == ByKey || least == 0 && c.Choice == Least {
+			break // none that follows is better
+		}
 	}
 	if best >= 0 && c.Choice != ByKey {
 		c.turn = (best + 1) % len(p.servers)
@@ -396,7 +398,7 @@
 	r.Goal = 0.6*r.Whole + 0.2*r.WorstWindow + 0.2*r.WorstClass
 	r.Again, r.Fell, r.Fired = p.again, p.fell, p.k.Fired()
 	if p.started > 0 {
-		r.Waste = 1 - p.useful/p.started
+		r.Waste = max(0, 1-p.useful/p.started)
 	}
 	if slices.Sort(p.took); len(p.took) > 0 {
 		r.P50, r.P99 = stat.Quantile(0.5, stat.Empirical, p.took, nil), stat.Quantile(0.99, stat.Empirical, p.took, nil)
--- a/internal/rehearse/player.go
+++ b/internal/rehearse/player.go
@@ -297,7 +297,11 @@
 		if c == nil {
 			return "", fmt.Errorf("no caller of that name")
 		}
-		return "log " + name + " " + p.log.code(c.c.LocalAddr().String()), nil
+		front := c.protocol
+		if front == "peer" {
+			front = "" // the peer port is no front
+		}
+		return "log " + name + " " + p.log.code(front+" "+c.c.LocalAddr().String()), nil
 	case "frame", "mute", "heard", "flood":
 		c := p.callers[name]
 		if c == nil {
@@ -445,6 +449,7 @@
 	}
 	_, text, _ := strings.Cut(strings.TrimSpace(string(line)), " ")
 	word, rest, _ := strings.Cut(text, " ")
+	peer := f["front"] + " " + f["peer"] // two connections to two ports may have the same port of their own
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	switch {
@@ -461,9 +466,9 @@
 		}
 		b.loads = append(b.loads, load)
 	case word == "stream":
-		b.streams[f["peer"]] = append(b.streams[f["peer"]], f["code"])
+		b.streams[peer] = append(b.streams[peer], f["code"])
 	case f["peer"] != "":
-		b.codes[f["peer"]] = append(b.codes[f["peer"]], f["code"])
+		b.codes[peer] = append(b.codes[peer], f["code"])
 	default:
 		return len(line), nil
 	}
