--- a/internal/emu/fleet/play.go
+++ b/internal/emu/fleet/play.go
@@ -84,7 +84,8 @@
 	net     *rand.Rand
 	servers []*server
 	callers []*caller
-	all     []*try
+	all     map[int]*try // that are not over for all sides
+	tries   int
 
 	res     Result
 	took    []float64
@@ -96,7 +97,7 @@
 
 // Play plays a day.
 func Play(d Day, make Make) Result {
-	p := &play{day: d, make: make, net: d.Seed.Split("network", 0).Rand()}
+	p := &play{day: d, make: make, all: map[int]*try{}, net: d.Seed.Split("network", 0).Rand()}
 	for i := range d.Nodes {
 		s := &server{p: p, no: i, params: d.machine(i), crawl: 1}
 		p.servers = append(p.servers, s)
@@ -228,8 +229,9 @@
 	p.res.Tries++
 	class := p.day.Classes[q.class]
 	s := p.servers[n]
-	t := &try{n: len(p.all), q: q, s: s, life: s.life, sent: now, due: min(now+class.Deadline*c.Wait, q.at+class.Deadline)}
-	p.all = append(p.all, t)
+	t := &try{n: p.tries, atNode: true, q: q, s: s, life: s.life, sent: now, due: min(now+class.Deadline*c.Wait, q.at+class.Deadline)}
+	p.all[t.n] = t
+	p.tries++
 	c.seen[n].out++
 	t.wait.Do = func(float64) { p.giveUp(t) }
 	p.k.Set(&t.wait, t.due)
@@ -297,6 +299,14 @@
 	t.closed = true
 	p.k.Cancel(&t.wait)
 	p.callers[t.q.caller].seen[t.s.no].out--
+	p.settle(t)
+}
+
+// settle lets go of a try once its caller, the node and the worker pool are done with it.
+func (p *play) settle(t *try) {
+	if t.closed && !t.atNode && !t.running {
+		delete(p.all, t.n)
+	}
 }
 
 // heard takes what a caller hears of a try.
@@ -365,7 +375,8 @@
 		got[q.class] += worth
 		r.Bins[min(int(q.at/binFor), len(r.Bins)-1)].Got += worth
 	}
-	for _, t := range p.all {
+	for _, n := range sorted(p.all) {
+		t := p.all[n]
 		if t.read && !t.answered && !t.gone && t.life == t.s.life {
 			p.broke("lost: %s has no answer: %s", t.name(), t.tale())
 		}
--- a/internal/emu/fleet/server.go
+++ b/internal/emu/fleet/server.go
@@ -36,6 +36,7 @@
 	stepping bool
 	tick     vtime.Timer
 	tries    map[int]*try // in hand, by number
+	runs     map[int]*try // whose runs are not over
 	trust    int          // changes of the list that are on their way
 }
 
@@ -53,6 +54,8 @@
 	gone     bool // its caller gave up
 	ran      bool
 	closed   bool // for the caller
+	atNode   bool // on its way there, or in hand
+	running  bool
 	wait     vtime.Timer
 	history  []mark
 }
@@ -79,7 +82,7 @@
 	if !cold {
 		params.ColdFrom = 1
 	}
-	s.node, s.in, s.tries = node, nil, map[int]*try{}
+	s.node, s.in, s.tries, s.runs = node, nil, map[int]*try{}, map[int]*try{}
 	s.up, s.draining, s.notice = true, false, math.Inf(1)
 	s.pool = workers.New(&s.p.k, params, func(e workers.Event) {
 		if s.life == life {
@@ -117,10 +120,23 @@
 		t.mark(why)
 		s.p.k.After(s.p.delay(), func(float64) { s.p.heard(t, reply{lost: true}) })
 	}
-	s.tries = map[int]*try{}
+	for _, t := range s.runs {
+		t.running = false
+		s.p.settle(t)
+	}
+	for _, t := range s.tries {
+		s.forget(t)
+	}
 	s.node, s.pool = nil, nil
 }
 
+// forget ends what a node has in hand of a try.
+func (s *server) forget(t *try) {
+	delete(s.tries, t.n)
+	t.atNode = false
+	s.p.settle(t)
+}
+
 // leave tells a node to drain; it is replaced at once, by a node that starts cold in the same place once it is over.
 func (s *server) leave() {
 	if !s.up || s.draining {
@@ -208,7 +224,7 @@
 		t.read = true
 		t.mark("read")
 		if t.gone {
-			delete(s.tries, t.n)
+			s.forget(t)
 			return
 		}
 		s.tell(core.Arrived{Request: &core.Request{ID: t.name(), Class: t.q.class, Caller: t.q.caller, Came: t.came, Due: t.due, KB: t.q.kb,
@@ -225,7 +241,11 @@
 }
 
 func (s *server) ended(e workers.Event, end core.End) {
-	s.tell(core.Finished{ID: s.p.all[e.ID].name(), End: end, Took: e.Took})
+	t := s.runs[e.ID]
+	delete(s.runs, e.ID)
+	t.running = false
+	s.p.settle(t)
+	s.tell(core.Finished{ID: t.name(), End: end, Took: e.Took})
 }
 
 // carry does what the node wants.
@@ -249,20 +269,24 @@
 		if o.Outcome == core.Refused && t.ran {
 			s.p.broke("lost: %s is refused though it ran: %s", t.name(), t.tale())
 		}
-		delete(s.tries, t.n)
+		s.forget(t)
 		r := reply{outcome: o.Outcome, load: o.Load, wait: o.Wait}
 		s.p.k.After(s.p.delay(), func(float64) { s.p.heard(t, r) })
 	case core.Spawn:
 		n, _ := strconv.ParseInt(o.ID, 16, 64)
-		t := s.p.all[n]
+		t := s.p.all[int(n)]
 		switch {
+		case t == nil:
+			s.p.broke("duplicate: %s is run, and it was over", o.ID)
+			return
 		case t.ran:
 			s.p.broke("duplicate: %s runs twice: %s", t.name(), t.tale())
 			return
 		case t.came > s.notice+s.p.day.Drain+50:
 			s.p.broke("drain: %s came too late to be run: %s", t.name(), t.tale())
 		}
-		t.ran = true
+		t.ran, t.running = true, true
+		s.runs[t.n] = t
 		t.mark("run")
 		if t.q.write {
 			if t.q.runs++; t.q.runs > 1 {
@@ -288,6 +312,7 @@
 func (s *server) arrive(t *try) {
 	if !s.up || s.life != t.life {
 		if !s.up {
+			t.atNode = false
 			s.p.k.After(s.p.delay(), func(float64) { s.p.heard(t, reply{refused: true}) })
 			return
 		}
@@ -310,7 +335,7 @@
 		return
 	}
 	if t.read {
-		delete(s.tries, t.n)
+		s.forget(t)
 		s.tell(core.Left{ID: t.name()})
 	}
 }
