Mend what a second reading of kept results and the emulator found

It is written anew from memory, and a lost result is told as failed; a disk that does not read now is tried again. - Where no results are kept, Req-Token sent twice was a fault (Fields.Field knew it). - A request whose start waits for a broken link was refused as `stalled`; it is `not-run`. A refusal at the due time for want of a sync now carries advice. - An operator's name had no bound offline, a folder's path none for its socket. - The SIGKILL loop hung on how fast a node starts; it goes by what was served. - Delays in the emulator came from one stream, so that a policy shifted those of other requests: they go by request, try and message. - One heap (order.Heap, ties by setting) for the module and virtual time, one credit rule for both labs, one drain for both tests of the module.

Tests of its own for each, and for bounds that had none: the line of those that wait, the id of another run, long results, a segment that can't be removed, MOOT in doubt, a late sync told by the due time.

--- a/cmd/whinrudder/sigkill_test.go
+++ b/cmd/whinrudder/sigkill_test.go
@@ -190,13 +190,24 @@
 		})
 	}
 	const kills = 10
-	for range kills {
-		time.Sleep(time.Duration(120+rand.IntN(200)) * time.Millisecond)
+	got := func() int {
+		mu.Lock()
+		defer mu.Unlock()
+		return served
+	}
+	for range kills { // each life serves something first, however long it takes to start
+		before := got()
+		for late := time.Now().Add(20 * time.Second); got() < before+10 && time.Now().Before(late); {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(time.Duration(rand.IntN(100)) * time.Millisecond)
 		node.Process.Kill()
 		node.Wait()
 		node = start()
 	}
-	time.Sleep(200 * time.Millisecond)
+	for before, late := got(), time.Now().Add(20*time.Second); got() < before+10 && time.Now().Before(late); {
+		time.Sleep(time.Millisecond)
+	}
 	close(stop)
 	wg.Wait()
 	node.Process.Kill()
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -461,6 +461,8 @@
 		c.ops.Durable(c.now, i.Places, i.Segments)
 	case Lapses:
 		c.ops.Lost(c.now, i.N, i.Segments)
+	case Unread:
+		c.ops.Unread(c.now)
 	case Fetched:
 		c.fetched(i)
 	case Dropped:
--- a/internal/core/kept.go
+++ b/internal/core/kept.go
@@ -24,6 +24,8 @@
 		N        int
 		Segments []journal.Segment
 	}
+	// Unread tells that the first one was to be copied from a record that is damaged.
+	Unread struct{}
 	// Fetched brings a record that was asked for.
 	Fetched struct {
 		ID     string
@@ -56,6 +58,7 @@
 
 func (Lasts) input()        {}
 func (Lapses) input()       {}
+func (Unread) input()       {}
 func (Fetched) input()      {}
 func (Dropped) input()      {}
 func (Resolve) input()      {}
@@ -139,10 +142,13 @@
 		c.answer(r, Answer{Outcome: Served, Result: result})
 	case ended:
 		c.answer(r, c.unserved(ops.WhyFailed))
-	case r.queued || r.writing:
-		c.answer(r, c.unserved(ops.WhyStalled))
+	case r.writing:
+		a := c.unserved(ops.WhyStalled)
+		a.Wait = c.settings.MaxRetryAfter
+		c.answer(r, a)
+	case r.queued:
+		c.answer(r, c.unserved(ops.WhyNotRun)) // the link is down, and its start never left
 	case r.doubt:
-		c.ops.Doubtful(c.now, r.ID)
 		c.answer(r, c.unserved(ops.WhyDoubt))
 	default:
 		c.answer(r, Answer{Outcome: Failed})
--- /dev/null
+++ b/internal/emu/fleet/credit.go
@@ -0,0 +1,19 @@
+package fleet
+
+import "math"
+
+// Credit is what a caller was told of a node, and what it has out there.
+type Credit struct {
+	Value, Heard float64 // Value below 0: nothing was told yet
+	Out          int
+}
+
+// Allows tells whether there is room for one more. Of a broken credit the coin, 0 to 1, decides on the last place; one that
+// was heard of too long ago does not hold.
+func (c *Credit) Allows(now, coin float64) bool {
+	if c.Value < 0 || now-c.Heard >= heardFor {
+		return true
+	}
+	whole, part := math.Modf(c.Value)
+	return float64(c.Out) < whole || float64(c.Out) == whole && coin < part
+}
--- a/internal/emu/fleet/day.go
+++ b/internal/emu/fleet/day.go
@@ -140,6 +140,7 @@
 
 // request is what a client wants.
 type request struct {
+	no      int
 	at      float64
 	class   int
 	caller  int
@@ -195,7 +196,7 @@
 		if thin.Float64()*most >= rate {
 			continue
 		}
-		q := request{at: at, caller: what.IntN(len(d.Callers)), coin: what.Float64(), rank: what.Float64(), kb: 22 + 34*what.Float64(),
+		q := request{no: len(all), at: at, caller: what.IntN(len(d.Callers)), coin: what.Float64(), rank: what.Float64(), kb: 22 + 34*what.Float64(),
 			subject: int(float64(d.Subjects) * math.Pow(what.Float64(), 3))} // few are far more popular than the rest
 		for x := what.Float64(); q.class < len(d.Classes)-1 && x >= d.Classes[q.class].Share; q.class++ {
 			x -= d.Classes[q.class].Share
--- a/internal/emu/fleet/play.go
+++ b/internal/emu/fleet/play.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math"
-	"math/rand/v2"
 	"slices"
 
 	"gonum.org/v1/gonum/stat"
@@ -70,10 +69,9 @@
 
 // view is what a caller knows of a node.
 type view struct {
-	credit, heard float64
-	out           int
-	away          float64 // advice to stay away until
-	mean          float64 // of latency
+	Credit
+	away float64 // advice to stay away until
+	mean float64 // of latency
 }
 
 // play is a day under way.
@@ -81,7 +79,7 @@
 	day     Day
 	make    Make
 	k       vtime.Kernel
-	net     *rand.Rand
+	network vtime.Seed
 	servers []*server
 	callers []*caller
 	all     map[int]*try // that are not over for all sides
@@ -97,7 +95,7 @@
 
 // Play plays a day.
 func Play(d Day, make Make) Result {
-	p := &play{day: d, make: make, all: map[int]*try{}, net: d.Seed.Split("network", 0).Rand()}
+	p := &play{day: d, make: make, all: map[int]*try{}, network: d.Seed.Split("network", 0)}
 	for i := range d.Nodes {
 		s := &server{p: p, no: i, params: d.machine(i), crawl: 1}
 		p.servers = append(p.servers, s)
@@ -141,13 +139,24 @@
 func newViews(n int) []view {
 	v := make([]view, n)
 	for i := range v {
-		v[i].credit = -1
+		v[i].Value = -1
 	}
 	return v
 }
 
-// delay draws how long a message is on its way.
-func (p *play) delay() float64 { return p.day.Delay.draw(p.net) }
+// delay is how long a message of a try is on its way. It goes by the request, the number of the try and that of the message,
+// so that what one policy does shifts nothing for the other requests of a day.
+func (t *try) delay() float64 {
+	t.messages++
+	r := t.s.p.network.Split("", t.q.no).Split("", t.nth*64+t.messages)
+	return t.s.p.day.Delay.draw(part(r))
+}
+
+// part is a number from 0 to 1 that a seed stands for.
+type part vtime.Seed
+
+// Float64 makes it a source of one draw.
+func (s part) Float64() float64 { return float64(s>>11) / (1 << 53) }
 
 func (p *play) broke(format string, args ...any) {
 	if len(p.res.Broken) < 20 {
@@ -229,13 +238,13 @@
 	p.res.Tries++
 	class := p.day.Classes[q.class]
 	s := p.servers[n]
-	t := &try{n: p.tries, atNode: true, q: q, s: s, life: s.life, sent: now, due: min(now+class.Deadline*c.Wait, q.at+class.Deadline)}
+	t := &try{n: p.tries, nth: q.tries, atNode: true, q: q, s: s, life: s.life, sent: now, due: min(now+class.Deadline*c.Wait, q.at+class.Deadline)}
 	p.all[t.n] = t
 	p.tries++
-	c.seen[n].out++
+	c.seen[n].Out++
 	t.wait.Do = func(float64) { p.giveUp(t) }
 	p.k.Set(&t.wait, t.due)
-	p.k.After(p.delay(), func(float64) { s.arrive(t) })
+	p.k.After(t.delay(), func(float64) { s.arrive(t) })
 }
 
 // choose picks a node of the list, or -1.
@@ -249,13 +258,13 @@
 			n = (q.subject*7919 + i) % len(p.servers)
 		}
 		v := &c.seen[n]
-		if !p.servers[n].listed || len(last) > 0 && slices.Contains(last, n) || c.Heeds && (v.away > now || !v.allows(now, q.coin)) {
+		if !p.servers[n].listed || len(last) > 0 && slices.Contains(last, n) || c.Heeds && (v.away > now || !v.Allows(now, q.coin)) {
 			continue
 		}
 		cost := 0.0
 		switch c.Choice {
 		case Least:
-			cost = float64(v.out)
+			cost = float64(v.Out)
 		case Fastest:
 			cost = v.mean
 		default:
@@ -274,15 +283,6 @@
 	return best
 }
 
-// allows tells whether a credit has room for one more. Of a broken one the coin decides on the last place.
-func (v *view) allows(now, coin float64) bool {
-	if v.credit < 0 || now-v.heard >= heardFor {
-		return true
-	}
-	whole, part := math.Modf(v.credit)
-	return float64(v.out) < whole || float64(v.out) == whole && coin < part
-}
-
 // giveUp ends a try whose caller waits no longer.
 func (p *play) giveUp(t *try) {
 	if t.closed {
@@ -298,7 +298,7 @@
 func (p *play) close(t *try) {
 	t.closed = true
 	p.k.Cancel(&t.wait)
-	p.callers[t.q.caller].seen[t.s.no].out--
+	p.callers[t.q.caller].seen[t.s.no].Out--
 	p.settle(t)
 }
 
@@ -332,7 +332,7 @@
 		return
 	}
 	if r.load >= 0 {
-		v.credit, v.heard = r.load, now
+		v.Value, v.Heard = r.load, now
 	}
 	if v.mean == 0 {
 		v.mean = now - t.sent
--- a/internal/emu/fleet/server.go
+++ b/internal/emu/fleet/server.go
@@ -12,6 +12,9 @@
 	"whinrudder/internal/vtime"
 )
 
+// fallenFor is how long a node that fell is away.
+const fallenFor = 5000
+
 // Make makes a node of a fleet.
 type Make func(s whinrudder.Settings, seed uint64) (rivals.Node, error)
 
@@ -56,6 +59,8 @@
 	closed   bool // for the caller
 	atNode   bool // on its way there, or in hand
 	running  bool
+	nth      int // try of its request
+	messages int // so far
 	wait     vtime.Timer
 	history  []mark
 }
@@ -73,7 +78,7 @@
 	s.life++
 	life := s.life
 	set := s.p.day.Settings(cold)
-	node, err := s.p.make(set, uint64(s.p.day.Seed.Split("node", s.no*1000+life)))
+	node, err := s.p.make(set, uint64(s.p.day.Seed.Split("node", s.no).Split("life", life)))
 	if err != nil {
 		s.p.broke("node %d: %v", s.no, err)
 		return
@@ -118,7 +123,7 @@
 	for _, n := range sorted(s.tries) {
 		t := s.tries[n]
 		t.mark(why)
-		s.p.k.After(s.p.delay(), func(float64) { s.p.heard(t, reply{lost: true}) })
+		s.p.k.After(t.delay(), func(float64) { s.p.heard(t, reply{lost: true}) })
 	}
 	for _, t := range s.runs {
 		t.running = false
@@ -236,7 +241,7 @@
 	case workers.Fell:
 		s.p.fell++
 		s.die("fell")
-		s.p.k.After(s.p.day.Ramp.Low, func(float64) { s.start(true) })
+		s.p.k.After(fallenFor, func(float64) { s.start(true) })
 	}
 }
 
@@ -271,7 +276,7 @@
 		}
 		s.forget(t)
 		r := reply{outcome: o.Outcome, load: o.Load, wait: o.Wait}
-		s.p.k.After(s.p.delay(), func(float64) { s.p.heard(t, r) })
+		s.p.k.After(t.delay(), func(float64) { s.p.heard(t, r) })
 	case core.Spawn:
 		n, _ := strconv.ParseInt(o.ID, 16, 64)
 		t := s.p.all[int(n)]
@@ -313,7 +318,7 @@
 	if !s.up || s.life != t.life {
 		if !s.up {
 			t.atNode = false
-			s.p.k.After(s.p.delay(), func(float64) { s.p.heard(t, reply{refused: true}) })
+			s.p.k.After(t.delay(), func(float64) { s.p.heard(t, reply{refused: true}) })
 			return
 		}
 		t.life = s.life // a successor took the place meanwhile
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -83,6 +83,23 @@
 	return nil
 }
 
+// Set takes a field that came. Known tells whether it has a meaning, twice that it came before. A token that came twice is
+// no token: what that means hangs on whether the class has one.
+func (f *Fields) Set(name, value string) (known, twice bool) {
+	to := f.Field(name)
+	switch {
+	case to == nil:
+		return false, false
+	case *to == "":
+		*to = value
+	case to == &f.Token:
+		*to = "\x00"
+	default:
+		return true, true
+	}
+	return true, false
+}
+
 const (
 	maxKey = 256
 	// MaxToken bounds the name of an operation, which lasts.
--- a/internal/h2/header.go
+++ b/internal/h2/header.go
@@ -87,12 +87,8 @@
 			r.fault = &front.Fault{Status: 417, Code: "bad-expect"}
 		}
 	default:
-		if to := r.fields.Field(f.Name); to != nil {
-			if *to != "" {
-				r.fault = &front.Fault{Status: 400, Code: "twice-field"}
-				return
-			}
-			*to = f.Value
+		if _, twice := r.fields.Set(f.Name, f.Value); twice {
+			r.fault = &front.Fault{Status: 400, Code: "twice-field"}
 		}
 	}
 }
--- a/internal/httpfront/httpfront.go
+++ b/internal/httpfront/httpfront.go
@@ -85,11 +85,9 @@
 			return &front.Fault{Status: 400, Code: "bad-header"}
 		}
 		value = strings.Trim(value, " \t")
-		if to := p.fields.Field(name); to != nil {
-			if *to != "" {
-				return &front.Fault{Status: 400, Code: "twice-field"}
-			}
-			*to = value
+		if known, twice := p.fields.Set(name, value); twice {
+			return &front.Fault{Status: 400, Code: "twice-field"}
+		} else if known {
 			continue
 		}
 		switch {
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -188,6 +188,19 @@
 	}
 }
 
+// A whole frame in another place than its own is none.
+func TestFrameKnowsItsPlace(t *testing.T) {
+	b, err := appendFrame(nil, 1, 0, 1, record(7))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, p := range []Place{{1, 0, 0}, {1, 64, 0}, {2, 0, 0}} {
+		if _, _, _, what := readFrame(b, p.Seg, p.At); (what == "") != (p == Place{1, 0, 0}) {
+			t.Errorf("at %v: %q", p, what)
+		}
+	}
+}
+
 func FuzzFrame(f *testing.F) {
 	b, err := appendFrame(nil, 1, 0, 1, record(7))
 	if err != nil {
--- a/internal/kept/crash_test.go
+++ b/internal/kept/crash_test.go
@@ -243,3 +243,72 @@
 		t.Error(e)
 	}
 }
+
+// A byte that goes bad while the node runs costs one result: its segment is moved all the same, the journal stays small and
+// the others are told as before.
+func TestBadByteDoesNotHoldUpTheMoving(t *testing.T) {
+	w := newWorld(1, usual)
+	book := func(key string) {
+		w.ask(key, "b:"+key)
+		w.lay()
+		w.read()
+		for _, id := range w.unfinished() {
+			w.finish(id)
+		}
+		w.lay()
+	}
+	book("a")
+	book("b")
+	for _, i := range w.table.All() {
+		if i.Key == "book/a" {
+			w.dir.Flip(fmt.Sprintf("%08d.log", i.Place.Seg), int(i.Place.At+i.Place.Len-3))
+		}
+	}
+	read := w.ask("a", "b:a")
+	w.lay()
+	if len(read.answers) != 1 || read.answers[0].Kept != "unreadable" {
+		t.Errorf("%+v", read.answers)
+	}
+	for i := range 40 {
+		w.leave(w.ask(fmt.Sprint("n", i), "")) // what counts no more
+		w.lay()
+		w.pass(40)
+		w.lay()
+	}
+	if first := w.j.Segments()[0].No; first < 5 || w.j.Bytes() > 2000 {
+		t.Errorf("%d bytes, the first segment is %d", w.j.Bytes(), first)
+	}
+	if a, b := w.last("a"), w.last("b"); a.answers[0].Kept != "failed" || string(b.answers[0].Result) != "r:book/b" {
+		t.Errorf("%+v, %+v", a.answers, b.answers)
+	}
+	w.crash()
+	w.boot()
+	if w.failed != nil {
+		t.Error(w.failed)
+	}
+}
+
+// An end that does not last in time is told by the due time all the same, and to those that wait for it as well.
+func TestLateSyncIsToldInTime(t *testing.T) {
+	w := newWorld(1, usual)
+	a := w.ask("a", "b:a")
+	w.lay()
+	w.read()
+	b := w.ask("a", "b:a")
+	for _, id := range w.unfinished() {
+		w.finish(id)
+	}
+	for w.now < a.due && len(a.answers) == 0 {
+		w.pass(5)
+	}
+	w.pass(a.due - w.now)
+	for _, x := range []*try{a, b} {
+		if len(x.answers) != 1 || string(x.answers[0].Result) != "r:book/a" {
+			t.Errorf("%s: %+v at its due time", x.id, x.answers)
+		}
+	}
+	w.calm([]string{"a"})
+	for _, e := range w.wrong {
+		t.Error(e)
+	}
+}
--- a/internal/kept/kept.go
+++ b/internal/kept/kept.go
@@ -186,14 +186,14 @@
 // lay writes a batch. Copies that can't be read fail alone.
 func (k *Keeper) lay(all []ops.Write) bool {
 	var records []journal.Record
-	bad := false
+	var bad error
 	for _, w := range all {
 		r := w.Record
 		if w.From.Seg > 0 {
 			var err error
 			if r, err = journal.Read(k.dir, w.From); err != nil {
-				k.host.Log("kept", "code", "unreadable", "key", r.Key, "error", err)
-				bad = true
+				k.host.Log("kept", "code", "unreadable", "segment", w.From.Seg, "at", w.From.At, "error", err)
+				bad = err
 				break
 			}
 		}
@@ -209,8 +209,13 @@
 		}
 		k.host.Tell(core.Lasts{Places: places, Segments: k.j.Segments()})
 	}
-	if bad {
-		k.host.Tell(core.Lapses{N: 1, Segments: k.j.Segments()})
+	if bad != nil {
+		if errors.Is(bad, journal.ErrDamage) {
+			k.host.Tell(core.Unread{})
+		} else { // the disk may read it another time: nothing is given up
+			k.host.Tell(core.Lapses{N: 1, Segments: k.j.Segments()})
+			k.pause()
+		}
 		if rest := all[len(records)+1:]; len(rest) > 0 {
 			return k.lay(rest)
 		}
--- a/internal/kept/resolve.go
+++ b/internal/kept/resolve.go
@@ -62,7 +62,7 @@
 		return w, err
 	}
 	w = Word{Key: string(v.GetStringBytes("key")), Kind: kinds[string(v.GetStringBytes("how"))], By: string(v.GetStringBytes("by"))}
-	if w.Key == "" || w.Kind == 0 || len(w.By) > 64 {
+	if w.Key == "" || w.Kind == 0 {
 		return w, errors.New("want a key, how it ended, and by whom")
 	}
 	w.Result, err = base64.StdEncoding.DecodeString(string(v.GetStringBytes("result")))
--- a/internal/lab/host.go
+++ b/internal/lab/host.go
@@ -10,6 +10,7 @@
 
 	"whinrudder"
 	"whinrudder/internal/core"
+	"whinrudder/internal/emu/fleet"
 	"whinrudder/internal/eventlog"
 	"whinrudder/internal/poolmodel"
 )
@@ -31,28 +32,13 @@
 	next     int // of the arrivals
 	heeds    []bool
 	in       []core.Input
-	credit   []credit // by caller
-	lines    []string // of the core's log that tell of a prior or a fault
+	credit   []fleet.Credit // by caller
+	lines    []string       // of the core's log that tell of a prior or a fault
 	// By arrival: when it was answered in time with a result, 0 if never.
 	served []float64
 	fell   bool
 }
 
-// credit is what a caller was told last, and what it has out.
-type credit struct {
-	value, heard float64
-	out          int
-}
-
-// allows tells whether a credit has room for one more. Of a broken one the coin decides on the last place.
-func (c *credit) allows(now, coin float64) bool {
-	if c.value < 0 || now-c.heard >= heardFor {
-		return true
-	}
-	whole, part := math.Modf(c.value)
-	return float64(c.out) < whole || float64(c.out) == whole && coin < part
-}
-
 type sink struct{ n, caller int }
 
 func (sink) Deliver(core.Answer) {}
@@ -65,9 +51,9 @@
 		return nil, err
 	}
 	h := &host{core: c, pool: poolmodel.New(p, now), now: now, arrivals: arrivals, heeds: t.heeds,
-		credit: make([]credit, callers), served: make([]float64, len(arrivals))}
+		credit: make([]fleet.Credit, callers), served: make([]float64, len(arrivals))}
 	for i := range h.credit {
-		h.credit[i].value = -1
+		h.credit[i].Value = -1
 	}
 	h.in = append(h.in, core.Bound{Cold: cold}, core.Synced{})
 	return h, nil
@@ -96,10 +82,10 @@
 	for ; h.next < len(h.arrivals) && h.arrivals[h.next].at <= h.now; h.next++ {
 		a := &h.arrivals[h.next]
 		c := &h.credit[a.caller]
-		if h.heeds[a.caller] && !c.allows(h.now, a.coin) {
+		if h.heeds[a.caller] && !c.Allows(h.now, a.coin) {
 			continue // it goes elsewhere
 		}
-		c.out++
+		c.Out++
 		h.pool.Arrive(h.next, a.work)
 	}
 }
@@ -125,9 +111,9 @@
 	case core.Reply:
 		s := o.To.(sink)
 		c, a := &h.credit[s.caller], h.arrivals[s.n]
-		c.out--
+		c.Out--
 		if o.Load >= 0 {
-			c.value, c.heard = o.Load, h.now
+			c.Value, c.Heard = o.Load, h.now
 		}
 		if o.Outcome == core.Served && h.now <= a.at+classes[a.class].aim {
 			h.served[s.n] = h.now
--- a/internal/lab/sockets.go
+++ b/internal/lab/sockets.go
@@ -17,6 +17,7 @@
 
 	"github.com/valyala/fastjson"
 
+	"whinrudder/internal/emu/fleet"
 	"whinrudder/internal/knowledge"
 	"whinrudder/internal/node"
 	"whinrudder/internal/peer"
@@ -97,7 +98,7 @@
 	link   net.Conn
 	serial int
 	read   chan int // requests that the pool has read
-	credit []credit
+	credit []fleet.Credit
 	served []bool
 }
 
@@ -137,9 +138,9 @@
 	if err := n.Listen(); err != nil {
 		return nil, err
 	}
-	s.read, s.served, s.credit = make(chan int, len(s.day)), make([]bool, len(s.day)), make([]credit, callers)
+	s.read, s.served, s.credit = make(chan int, len(s.day)), make([]bool, len(s.day)), make([]fleet.Credit, callers)
 	for i := range s.credit {
-		s.credit[i].value = -1
+		s.credit[i].Value = -1
 	}
 	s.start = time.Now()
 	s.pool = poolmodel.New(s.machine, 0)
@@ -171,10 +172,10 @@
 		for ; next < len(s.day) && s.day[next].at <= now; next++ {
 			a := s.day[next]
 			c := &s.credit[a.caller]
-			if s.traffic.heeds[a.caller] && !c.allows(now, a.coin) {
+			if s.traffic.heeds[a.caller] && !c.Allows(now, a.coin) {
 				continue
 			}
-			c.out++
+			c.Out++
 			s.pool.Arrive(next, a.work)
 		}
 		for _, e := range s.pool.Step(now) {
@@ -218,14 +219,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := &s.credit[a.caller]
-	c.out--
+	c.Out--
 	if err != nil {
 		return
 	}
 	io.Copy(io.Discard, resp.Body)
 	resp.Body.Close()
 	if v, err := strconv.ParseFloat(resp.Header.Get("Srv-Load"), 64); err == nil {
-		c.value, c.heard = v, s.now()
+		c.Value, c.Heard = v, s.now()
 	}
 	s.served[i] = resp.StatusCode == 200 && s.now() <= a.at+classes[a.class].aim
 }
--- a/internal/ops/disk.go
+++ b/internal/ops/disk.go
@@ -93,6 +93,23 @@
 	}
 }
 
+// Unread tells that the first write on its way was a copy of a record that can't be read. Another life would find no more
+// there than this one: what is known in memory is written in its place, and a result that is lost is told as such.
+func (t *Table) Unread(now float64) {
+	w := t.take(1)[0]
+	o := w.op
+	if o.gone || o.place != w.from || o.state == Ending {
+		return
+	}
+	r := journal.Record{Kind: journal.Intended, Key: o.key, Digest: o.digest[:], Run: o.run, At: o.at, By: o.by}
+	if o.state == Done {
+		t.do(Note{"lost-result", o.key, o.run})
+		o.end, r.Kind = journal.Failed, journal.Failed
+	}
+	t.pending = append(t.pending, &write{op: o, rec: r, from: w.from, since: now})
+	t.do(Write{Record: r})
+}
+
 // Recover takes a record of the journal, in order, when a node starts.
 func (t *Table) Recover(r journal.Record, p journal.Place) {
 	o := t.ops[r.Key]
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -54,6 +54,7 @@
 	dropAgain = 1000 // a segment that could not be removed is tried again after so long
 	segsMost  = 64   // more segments are moved together, whatever they hold
 	maxResult = 8 << 10
+	maxBy     = 64
 	waitLeast = 64 // a line of so many that wait is looked through for those that left before it grows
 )
 
@@ -383,6 +384,8 @@
 		return fmt.Errorf("%q is not kept", key)
 	case o.state != Doubt:
 		return fmt.Errorf("%q is %v: only what is in doubt can be resolved", key, o.state)
+	case len(by) > maxBy:
+		return fmt.Errorf("a name of %d characters, %d at most", len(by), maxBy)
 	case kind == journal.Finished && len(result) > maxResult:
 		return fmt.Errorf("a result of %d bytes, %d at most", len(result), maxResult)
 	}
--- a/internal/ops/ops_test.go
+++ b/internal/ops/ops_test.go
@@ -355,3 +355,95 @@
 		t.Errorf("%d keys, %d writes, %v", keys, pending, counts)
 	}
 }
+
+// What is refused or lost by a bound: an id that is that of a run for another key, a result that is too long, a line of those
+// that wait and left, a segment that can't be removed, a name that is too long.
+func TestOddOnes(t *testing.T) {
+	l := Limits{Keys: 10, DiskBytes: 1e6, SegmentBytes: 100, AgeMs: 1e6, DoubtMs: 1e6}
+	d := newDisk(l)
+	d.t.Begin(1000, "a1", "a", digest("a"))
+	if v := d.t.Begin(1000, "a1", "b", digest("b")); v != (Verdict{Kind: Fails, Why: WhyOtherBody}) {
+		t.Errorf("the id of another run: %+v", v)
+	}
+	d.t.Intend(1000, "a1")
+	d.lay(1000)
+	for i := range 10000 {
+		id := fmt.Sprint("w", i)
+		d.t.Wait(1000, id, "a")
+		d.t.Leave(1000, id)
+	}
+	d.t.Wait(1000, "stays", "a")
+	if n := len(d.t.ops["a"].waiting); n > 2*waitLeast || len(d.t.waits) != 1 {
+		t.Errorf("%d in the line, %d wait", n, len(d.t.waits))
+	}
+	d.t.Finish(1000, "a1", true, make([]byte, maxResult+1))
+	want := []Effect{Note{"long-result", "a", "a1"}, Fail{"a1", WhyFailed}, Fail{"stays", WhyFailed}}
+	if diff := cmp.Diff(want, d.lay(1000)); diff != "" {
+		t.Error(diff)
+	}
+	d.book(1000, "b1", "b")
+	d.t.Begin(1000, "c1", "c", digest("c"))
+	d.t.Intend(1000, "c1")
+	d.lay(1000)
+	d.t.Doubtful(1000, "c1")
+	if err := d.t.Resolve(1000, "c", journal.Failed, nil, string(make([]byte, maxBy+1))); err == nil {
+		t.Error("a name without a bound is taken")
+	}
+	d.effects()
+	d.t.Tick(2000) // the first segment holds an intent that counts no more
+	if got := d.effects(); len(got) != 1 || got[0] != (Drop{1}) {
+		t.Fatalf("%+v", got)
+	}
+	d.t.Dropped(2000, 1, false, d.segs)
+	if at := d.t.Next(); at != 2000+dropAgain {
+		t.Errorf("tried again at %v", at)
+	}
+	if d.t.Tick(2500); len(d.effects()) != 0 {
+		t.Error("tried again at once")
+	}
+	if d.t.Tick(2000 + dropAgain); len(d.effects()) != 1 {
+		t.Error("not tried again")
+	}
+}
+
+// A record that can't be read is written anew from what is known: an intent whole, an end without its result.
+func TestUnreadableRecordsAreWrittenAnew(t *testing.T) {
+	d := newDisk(Limits{Keys: 10, DiskBytes: 1e6, SegmentBytes: 100, AgeMs: 1e6, DoubtMs: 1e6})
+	d.book(1000, "a1", "a")
+	d.t.Begin(1000, "b1", "b", digest("b"))
+	d.t.Intend(1000, "b1")
+	d.lay(1000)
+	before := [2]journal.Place{d.t.ops["a"].place, d.t.ops["b"].place}
+	for _, key := range []string{"a", "b"} {
+		o := d.t.ops[key]
+		d.t.pending = append(d.t.pending, &write{op: o, from: o.place, since: 1000})
+		d.t.Unread(1000)
+		d.lay(1000)
+	}
+	a, b := d.t.ops["a"], d.t.ops["b"]
+	if a.place == before[0] || b.place == before[1] || b.state != Running {
+		t.Errorf("%v, %v", a, b)
+	}
+	if r := d.all[a.place]; r.Kind != journal.Failed || r.Run != "a1" || r.At != 1000 {
+		t.Errorf("%+v", r)
+	}
+	if r := d.all[b.place]; r.Kind != journal.Intended || r.Run != "b1" || string(r.Digest) != string(b.digest[:]) {
+		t.Errorf("%+v", r)
+	}
+	if v := d.t.Begin(1000, "a2", "a", digest("a")); v != (Verdict{Kind: Fails, Why: WhyFailed}) {
+		t.Errorf("%+v", v)
+	}
+}
+
+// Word that a run in doubt was never started frees its key.
+func TestMootEndsADoubt(t *testing.T) {
+	d := newDisk(limits)
+	d.t.Begin(1000, "a1", "a", digest("a"))
+	d.t.Intend(1000, "a1")
+	d.lay(1000)
+	d.t.Doubtful(1000, "a1")
+	d.t.Moot(1000, "a1")
+	if v := d.t.Begin(1000, "a2", "a", digest("a")); v.Kind != Leads {
+		t.Errorf("%+v", v)
+	}
+}
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -14,14 +14,18 @@
 type Due[T any] struct {
 	What T
 	at   float64
-	pos  int // from 1; 0: in no heap
+	seq  uint64 // of its setting
+	pos  int    // from 1; 0: in no heap
 }
 
 // In tells whether it is in a heap.
 func (d *Due[T]) In() bool { return d.pos > 0 }
 
-// Heap holds what falls due, the soonest first. All but Len and First take time in the logarithm of its size.
-type Heap[T any] struct{ all entries[T] }
+// Heap holds what falls due, the soonest first, those of one time in the order in which they were set. All but Len and First take time in the logarithm of its size.
+type Heap[T any] struct {
+	all entries[T]
+	seq uint64
+}
 
 // Len returns how many there are.
 func (h *Heap[T]) Len() int { return len(h.all) }
@@ -36,7 +40,8 @@
 
 // Set puts an entry in, or moves it to another time.
 func (h *Heap[T]) Set(d *Due[T], at float64) {
-	d.at = at
+	h.seq++
+	d.at, d.seq = at, h.seq
 	if d.In() {
 		heap.Fix(&h.all, d.pos-1)
 	} else {
@@ -61,8 +66,10 @@
 
 type entries[T any] []*Due[T]
 
-func (e entries[T]) Len() int           { return len(e) }
-func (e entries[T]) Less(i, j int) bool { return e[i].at < e[j].at }
+func (e entries[T]) Len() int { return len(e) }
+func (e entries[T]) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
 func (e entries[T]) Swap(i, j int) {
 	e[i], e[j] = e[j], e[i]
 	e[i].pos, e[j].pos = i+1, j+1
--- a/internal/settings/kept.go
+++ b/internal/settings/kept.go
@@ -19,6 +19,9 @@
 	AgeMs, DoubtMs float64 // how long an end is kept, and a doubt
 }
 
+// maxDir leaves room for the name of a socket in the 108 bytes that its path may have.
+const maxDir = 90
+
 // On tells whether results are kept.
 func (k Kept) On() bool { return k.Dir != "" }
 
@@ -41,6 +44,9 @@
 	if k.Dir == "" {
 		r.fault("kept.dir is empty")
 	}
+	if len(k.Dir) > maxDir {
+		r.fault("kept.dir has %d characters, %d at most: a socket in it must have a path", len(k.Dir), maxDir)
+	}
 	if len(k.Classes) == 0 {
 		r.fault("kept.classes is empty")
 	}
--- a/internal/vtime/vtime.go
+++ b/internal/vtime/vtime.go
@@ -3,33 +3,31 @@
 package vtime
 
 import (
-	"container/heap"
 	"encoding/binary"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
+
+	"whinrudder/internal/order"
 )
 
 // Timer fires once at a time; it lies inside of what it wakes and can be set again and again. Do must be set before.
 type Timer struct {
 	Do func(now float64)
 
-	at  float64
-	seq uint64
-	pos int // from 1; 0: not set
+	due order.Due[*Timer]
 }
 
 // On tells whether it is set.
-func (t *Timer) On() bool { return t.pos > 0 }
+func (t *Timer) On() bool { return t.due.In() }
 
 // Kernel holds what is to happen. It is used from one goroutine.
 type Kernel struct {
 	now   float64
-	seq   uint64
 	fired uint64
-	all   timers
+	all   order.Heap[*Timer]
 }
 
 // Now returns the present time.
@@ -40,13 +38,8 @@
 
 // Set lets a timer fire at a time, or now if that is over. Timers of one time fire in the order in which they were set.
 func (k *Kernel) Set(t *Timer, at float64) {
-	k.seq++
-	t.at, t.seq = max(at, k.now), k.seq
-	if t.On() {
-		heap.Fix(&k.all, t.pos-1)
-	} else {
-		heap.Push(&k.all, t)
-	}
+	t.due.What = t
+	k.all.Set(&t.due, max(at, k.now))
 }
 
 // After makes a timer that fires after so long.
@@ -57,17 +50,17 @@
 }
 
 // Cancel takes a timer back, if it is set.
-func (k *Kernel) Cancel(t *Timer) {
-	if t.On() {
-		heap.Remove(&k.all, t.pos-1)
-	}
-}
+func (k *Kernel) Cancel(t *Timer) { k.all.Remove(&t.due) }
 
 // Run fires all that falls due until a time, which is the present one then.
 func (k *Kernel) Run(to float64) {
-	for len(k.all) > 0 && k.all[0].at <= to {
-		t := heap.Pop(&k.all).(*Timer)
-		k.now = t.at
+	for {
+		at, _ := k.all.First()
+		t, ok := k.all.Pop(to)
+		if !ok {
+			break
+		}
+		k.now = at
 		k.fired++
 		t.Do(k.now)
 	}
@@ -75,36 +68,7 @@
 }
 
 // Next returns when the next timer fires; ok is false if there is none.
-func (k *Kernel) Next() (at float64, ok bool) {
-	if len(k.all) == 0 {
-		return 0, false
-	}
-	return k.all[0].at, true
-}
-
-type timers []*Timer
-
-func (t timers) Len() int { return len(t) }
-func (t timers) Less(i, j int) bool {
-	return t[i].at < t[j].at || t[i].at == t[j].at && t[i].seq < t[j].seq
-}
-func (t timers) Swap(i, j int) {
-	t[i], t[j] = t[j], t[i]
-	t[i].pos, t[j].pos = i+1, j+1
-}
-func (t *timers) Push(x any) {
-	n := x.(*Timer)
-	*t = append(*t, n)
-	n.pos = len(*t)
-}
-func (t *timers) Pop() any {
-	last := len(*t) - 1
-	n := (*t)[last]
-	(*t)[last] = nil
-	*t = (*t)[:last]
-	n.pos = 0
-	return n
-}
+func (k *Kernel) Next() (at float64, ok bool) { return k.all.First() }
 
 // Seed is where random streams come from.
 type Seed uint64
--- a/recorded_test.go
+++ b/recorded_test.go
@@ -49,15 +49,7 @@
 		h.now += s.Tick
 		h.step(h.events(rate)...)
 	}
-	h.noticeAt, h.stopAt = h.now, h.now+4000
-	for _, q := range h.order {
-		q.due = min(q.due, max(h.stopAt, h.now))
-	}
-	h.step(Notice{StopAt: h.stopAt})
-	for h.now < h.stopAt-s.Tick {
-		h.now += s.Tick
-		h.step(h.events(rate / 4)...)
-	}
+	h.drain(rate / 4)
 	return lines
 }
 
--- a/rules_test.go
+++ b/rules_test.go
@@ -263,6 +263,19 @@
 	return out
 }
 
+// drain plays the notice to leave and the time to the stop.
+func (h *host) drain(rate float64) {
+	h.noticeAt, h.stopAt = h.now, h.now+4000
+	for _, q := range h.order {
+		q.due = min(q.due, max(h.stopAt, h.now))
+	}
+	h.step(Notice{StopAt: h.stopAt})
+	for h.now < h.stopAt-h.s.Tick {
+		h.now += h.s.Tick
+		h.step(h.events(rate)...)
+	}
+}
+
 func TestRulesHoldOnAnyLegalEvents(t *testing.T) {
 	for seed := range uint64(60) {
 		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
@@ -296,15 +309,7 @@
 				h.now += s.Tick
 				h.step(h.events(rate)...)
 			}
-			h.noticeAt, h.stopAt = h.now, h.now+4000
-			for _, q := range h.order {
-				q.due = min(q.due, max(h.stopAt, h.now))
-			}
-			h.step(Notice{StopAt: h.stopAt})
-			for h.now < h.stopAt-s.Tick {
-				h.now += s.Tick
-				h.step(h.events(rate)...)
-			}
+			h.drain(rate)
 			if len(p.heard) > s.Callers || len(p.heard) != len(p.byID) {
 				t.Fatalf("state grows: %d callers of %d", len(p.heard), s.Callers)
 			}
