--- /dev/null
+++ b/cmd/whinrudder-kit/days.go
@@ -0,0 +1,574 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"whinrudder/internal/emu/collapse"
+	"whinrudder/internal/emu/experiment"
+	"whinrudder/internal/emu/fleet"
+	"whinrudder/internal/emu/hunt"
+	"whinrudder/internal/emu/live"
+	"whinrudder/internal/emu/report"
+	"whinrudder/internal/emu/shrink"
+	"whinrudder/internal/emu/study"
+	"whinrudder/internal/template"
+	"whinrudder/internal/vtime"
+)
+
+// load reads an experiment: a file, or one that ships with the kit by its name.
+func load(name string) (*experiment.Experiment, error) {
+	text, ok := experiment.Text(name)
+	if !ok {
+		var err error
+		if text, err = os.ReadFile(name); err != nil {
+			return nil, fmt.Errorf("lab: %q is no file, and none of the days that ship: %s", name, strings.Join(experiment.Families(), ", "))
+		}
+	}
+	return experiment.Parse(text, name, template.Evaluate)
+}
+
+// arguments loads the experiments that a command line names, or all that ship, with what it says beyond them.
+func arguments(c *cli.Command) (out []*experiment.Experiment, err error) {
+	names := c.Args().Slice()
+	if len(names) == 0 {
+		names = experiment.Families()
+	}
+	for _, n := range names {
+		e, err := load(n)
+		if err != nil {
+			return nil, err
+		}
+		if c.IsSet("seeds") {
+			if e.Seeds = c.Int("seeds"); e.Seeds < 1 || e.Seeds > 10000 {
+				return nil, fmt.Errorf("lab: --seeds is %d, want 1 to 10000", e.Seeds)
+			}
+		}
+		if c.IsSet("first-seed") {
+			e.First = vtime.Seed(c.Uint64("first-seed"))
+		}
+		if c.IsSet("effect") {
+			e.Effect, e.Stop = c.Float("effect"), true
+		}
+		if m := c.StringSlice("measure"); len(m) > 0 {
+			for _, name := range m {
+				if experiment.MeasureOf(name) == nil {
+					return nil, fmt.Errorf("lab: measure %q is none of %s", name, strings.Join(experiment.MeasureNames(), ", "))
+				}
+			}
+			e.Measure = m
+		}
+		if p := c.StringSlice("policy"); len(p) > 0 {
+			if err := e.Compare(p); err != nil {
+				return nil, err
+			}
+		}
+		out = append(out, e)
+	}
+	return out, nil
+}
+
+func one(c *cli.Command) (*experiment.Experiment, error) {
+	if c.NArg() != 1 {
+		return nil, errors.New("lab: want one experiment, a file or the name of one that ships")
+	}
+	all, err := arguments(c)
+	if err != nil {
+		return nil, err
+	}
+	return all[0], nil
+}
+
+func tell(done, most int) { fmt.Fprintf(os.Stderr, "\r%d of %d days at most ", done, most) }
+
+// output writes to a file that a flag names, if it does.
+func output(c *cli.Command, flag string, write func(w io.Writer) error) error {
+	path := c.String(flag)
+	if path == "" {
+		return nil
+	}
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	return errors.Join(write(f), f.Close())
+}
+
+// finish writes what was played: a table, and files where they are wanted.
+func finish(out io.Writer, c *cli.Command, all []*study.Study) error {
+	fmt.Fprintln(os.Stderr)
+	study.Write(out, all)
+	if err := output(c, "json", func(w io.Writer) error { return study.WriteLines(w, all) }); err != nil {
+		return err
+	}
+	if dir := c.String("plots"); dir != "" {
+		return plots(out, all, dir)
+	}
+	return nil
+}
+
+func plots(out io.Writer, all []*study.Study, dir string) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	var drawn []report.Named
+	for _, s := range all {
+		p, err := report.Study(s)
+		if err != nil {
+			return err
+		}
+		drawn = append(drawn, p...)
+	}
+	if len(all) > 1 && len(all[0].Variants) > 1 {
+		svg, err := report.Families(all)
+		if err != nil {
+			return err
+		}
+		drawn = append(drawn, report.Named{Name: "families", SVG: svg})
+	}
+	for _, p := range drawn {
+		path := filepath.Join(dir, p.Name+".svg")
+		if err := os.WriteFile(path, p.SVG, 0o644); err != nil {
+			return err
+		}
+		fmt.Fprintln(out, path)
+	}
+	return nil
+}
+
+// plays plays one day with all variants of its experiment.
+func plays(e *experiment.Experiment, x float64, seed vtime.Seed) (d fleet.Day, out []report.Play, err error) {
+	for i, v := range e.Variants {
+		w, err := e.Day(i, x, seed, nil)
+		if err != nil {
+			return d, nil, err
+		}
+		if i == 0 {
+			d = w
+		}
+		out = append(out, report.Play{Name: v.Name, Result: fleet.Play(w, v.Policy.Make())})
+	}
+	return d, out, nil
+}
+
+// variant returns what plays a day as the first variant of an experiment does.
+func variant(e *experiment.Experiment) func(fleet.Day) fleet.Result {
+	make := e.Variants[0].Policy.Make()
+	return func(d fleet.Day) fleet.Result { return fleet.Play(d, make) }
+}
+
+// dayCommands play the days of the emulator.
+func dayCommands(out io.Writer) []*cli.Command {
+	common := []cli.Flag{
+		&cli.IntFlag{Name: "seeds", Usage: "how many days of each kind, in place of what the file says"},
+		&cli.Uint64Flag{Name: "first-seed", Usage: "of the days"},
+		&cli.StringSliceFlag{Name: "policy", Usage: "compare these policies in place of the file's variants, the others with the first"},
+		&cli.StringSliceFlag{Name: "measure", Usage: "what to measure, the first decides"},
+		&cli.FloatFlag{Name: "effect", Usage: "the least difference that matters: play on only until all is clear"},
+		&cli.StringFlag{Name: "json", Usage: "file for JSON lines, one for each day that was played"},
+		&cli.StringFlag{Name: "plots", Usage: "folder for plots"},
+	}
+	flags := func(more ...cli.Flag) []cli.Flag { return append(append([]cli.Flag{}, common...), more...) }
+	run := func(change func(*cli.Command, *experiment.Experiment) error) cli.ActionFunc {
+		return func(_ context.Context, c *cli.Command) error {
+			all, err := arguments(c)
+			if err != nil {
+				return err
+			}
+			for _, e := range all {
+				if err := change(c, e); err != nil {
+					return err
+				}
+			}
+			played, err := study.Run(all, tell)
+			if err != nil {
+				return err
+			}
+			return finish(out, c, played)
+		}
+	}
+	return []*cli.Command{{
+		Name: "days", Usage: "list the days that ship, or print one of them", ArgsUsage: "[NAME]",
+		Action: func(_ context.Context, c *cli.Command) error {
+			if c.NArg() == 0 {
+				for _, f := range experiment.Families() {
+					text, _ := experiment.Text(f)
+					first, _, _ := strings.Cut(string(text), "\n")
+					fmt.Fprintf(out, "%-10s %s\n", f, strings.TrimPrefix(first, "// "))
+				}
+				return nil
+			}
+			text, ok := experiment.Text(c.Args().First())
+			if !ok {
+				return fmt.Errorf("lab: no day %q ships", c.Args().First())
+			}
+			_, err := out.Write(text)
+			return err
+		},
+	}, {
+		Name: "run", Usage: "play experiments as their files say", ArgsUsage: "EXPERIMENT...", Flags: flags(),
+		Action: run(func(*cli.Command, *experiment.Experiment) error { return nil }),
+	}, {
+		Name: "compare", Usage: "play days with the module and its rivals, and compare them in pairs", ArgsUsage: "[EXPERIMENT...]", Flags: flags(),
+		Action: run(func(c *cli.Command, e *experiment.Experiment) error {
+			if c.IsSet("policy") || len(e.Variants) > 1 {
+				return nil
+			}
+			return e.Compare(experiment.Policies)
+		}),
+	}, {
+		Name: "sweep", Usage: "play a day over the values of one of its figures", ArgsUsage: "EXPERIMENT...",
+		Flags: flags(&cli.StringFlag{Name: "key", Usage: "path of the figure in the day", Value: "load"}, &cli.FloatFlag{Name: "from", Value: 0.3},
+			&cli.FloatFlag{Name: "to", Value: 1.5}, &cli.IntFlag{Name: "steps", Value: 9}),
+		Action: run(func(c *cli.Command, e *experiment.Experiment) error {
+			if len(c.StringSlice("measure")) == 0 {
+				e.Measure = []string{"goal", "offered", "goodput", "p50", "p99", "waste", "tries"}
+			}
+			if e.Sweep.Key != "" && !c.IsSet("key") {
+				return nil
+			}
+			if n := c.Int("steps"); n < 1 || n > 50 {
+				return fmt.Errorf("lab: --steps is %d, want 1 to 50", n)
+			}
+			return e.SetSweep(experiment.Sweep{Key: c.String("key"), Values: experiment.Steps(c.Float("from"), c.Float("to"), c.Int("steps"))})
+		}),
+	}, {
+		Name: "replay", Usage: "play one day of an experiment and tell all of it", ArgsUsage: "EXPERIMENT",
+		Flags: flags(&cli.Uint64Flag{Name: "seed", Value: 1}, &cli.FloatFlag{Name: "x", Usage: "value of the sweep"},
+			&cli.StringFlag{Name: "plot", Usage: "file for a plot of the day"}, &cli.StringFlag{Name: "day", Usage: "file for the day as it was drawn"}),
+		Action: func(_ context.Context, c *cli.Command) error {
+			e, err := one(c)
+			if err != nil {
+				return err
+			}
+			seed := vtime.Seed(c.Uint64("seed"))
+			d, all, err := plays(e, c.Float("x"), seed)
+			if err != nil {
+				return err
+			}
+			fmt.Fprint(out, report.Text(d, all))
+			if err := output(c, "day", func(w io.Writer) error {
+				_, err := w.Write(experiment.Write(d, e.Variants[0].Policy.Name))
+				return err
+			}); err != nil {
+				return err
+			}
+			return output(c, "plot", func(w io.Writer) error {
+				svg, err := report.Day(fmt.Sprintf("%s, seed %d", e.Name, uint64(d.Seed)), d, all)
+				if err != nil {
+					return err
+				}
+				_, err = w.Write(svg)
+				return err
+			})
+		},
+	}, {
+		Name: "plot", Usage: "draw results that were written as JSON lines", ArgsUsage: "RESULTS",
+		Flags: []cli.Flag{&cli.StringFlag{Name: "out", Usage: "folder", Value: "."}},
+		Action: func(_ context.Context, c *cli.Command) error {
+			all, err := results(c)
+			if err != nil {
+				return err
+			}
+			return plots(out, all, c.String("out"))
+		},
+	}, {
+		Name: "report", Usage: "write one page of results, with the worst day of each kind", ArgsUsage: "RESULTS",
+		Flags: []cli.Flag{&cli.StringFlag{Name: "out", Usage: "file", Value: "report.html"},
+			&cli.StringSliceFlag{Name: "experiment", Usage: "file that results of its name were played from, to play the worst days again"}},
+		Action: func(_ context.Context, c *cli.Command) error { return writeReport(c) },
+	}, huntCommand(out), shrinkCommand(out), collapseCommand(out), liveCommand(out)}
+}
+
+func results(c *cli.Command) ([]*study.Study, error) {
+	f, err := os.Open(c.Args().First())
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	all, err := study.ReadLines(f)
+	if err == nil && len(all) == 0 {
+		err = fmt.Errorf("results: %s holds none", c.Args().First())
+	}
+	return all, err
+}
+
+func writeReport(c *cli.Command) error {
+	all, err := results(c)
+	if err != nil {
+		return err
+	}
+	from := map[string]*experiment.Experiment{}
+	for _, n := range append(experiment.Families(), c.StringSlice("experiment")...) {
+		e, err := load(n)
+		if err != nil {
+			return err
+		}
+		from[e.Name] = e
+	}
+	var sections []report.Section
+	if len(all) > 1 && len(all[0].Variants) > 1 {
+		svg, err := report.Families(all)
+		if err != nil {
+			return err
+		}
+		sections = append(sections, report.Section{Title: "all", Plots: []report.Named{{Name: "differences", SVG: svg}}})
+	}
+	for _, s := range all {
+		var text strings.Builder
+		study.Write(&text, []*study.Study{s})
+		p, err := report.Study(s)
+		if err != nil {
+			return err
+		}
+		sections = append(sections, report.Section{Title: s.Name, Text: text.String(), Plots: p})
+		cells, e := s.Cells(), from[s.Name]
+		if e == nil || len(cells) == 0 {
+			continue
+		}
+		worst := cells[0]
+		for _, w := range cells {
+			if w.Variant == s.Variants[0] && w.Measured[0].Mean < worst.Measured[0].Mean {
+				worst = w
+			}
+		}
+		if s.Sweep != "" {
+			if err := e.SetSweep(experiment.Sweep{Key: s.Sweep, Values: s.Xs()}); err != nil {
+				return err
+			}
+		}
+		if e.CompareLike(s.Variants) != nil {
+			continue // the file has changed since: its days are not those of the results
+		}
+		d, plays, err := plays(e, worst.X, vtime.Seed(worst.Worst))
+		if err != nil {
+			return err
+		}
+		svg, err := report.Day(fmt.Sprintf("%s, seed %d", s.Name, worst.Worst), d, plays)
+		if err != nil {
+			return err
+		}
+		sections = append(sections, report.Section{Title: "worst " + s.Name, Text: report.Text(d, plays), Plots: []report.Named{{Name: "the day", SVG: svg}}})
+	}
+	return output(c, "out", func(w io.Writer) error { return report.Write(w, "Rehearsal", sections) })
+}
+
+func huntCommand(out io.Writer) *cli.Command {
+	return &cli.Command{
+		Name: "hunt", Usage: "search the ranges of an experiment for the worst days, and name their causes", ArgsUsage: "EXPERIMENT",
+		Flags: []cli.Flag{&cli.IntFlag{Name: "random", Value: 200}, &cli.IntFlag{Name: "keep", Value: 5}, &cli.IntFlag{Name: "rounds", Value: 6},
+			&cli.IntFlag{Name: "tries", Value: 8}, &cli.Uint64Flag{Name: "first-seed", Value: 1}, &cli.StringSliceFlag{Name: "policy"},
+			&cli.StringFlag{Name: "days", Usage: "folder for the days that are found"}},
+		Action: func(_ context.Context, c *cli.Command) error {
+			e, err := one(c)
+			if err != nil {
+				return err
+			}
+			dims := e.Dims()
+			p := hunt.Params{Random: c.Int("random"), Keep: c.Int("keep"), Rounds: c.Int("rounds"), Tries: c.Int("tries"), Seed: e.First}
+			if p.Random < 1 || p.Random > 100000 || p.Keep < 1 || p.Rounds < 0 || p.Rounds > 1000 || p.Tries < 1 || p.Tries > 1000 {
+				return errors.New("lab hunt: want --random 1 to 100000, --keep and --tries from 1, --rounds from 0")
+			}
+			day := func(place []float64, seed vtime.Seed) (fleet.Day, error) {
+				return e.Day(0, 0, seed, func(path string) float64 {
+					for i, d := range dims {
+						if d.Path == path {
+							return place[i]
+						}
+					}
+					return 0.5
+				})
+			}
+			play := variant(e)
+			found := hunt.Search(len(dims), p, func(place []float64, seed vtime.Seed) float64 {
+				d, err := day(place, seed)
+				if err != nil {
+					return 2
+				}
+				return play(d).Goal
+			}, tell)
+			fmt.Fprintln(os.Stderr)
+			for i, f := range found {
+				d, err := day(f.Place, f.Seed)
+				if err != nil {
+					return err
+				}
+				r, causes := hunt.Causes(d, play)
+				fmt.Fprintf(out, "%d. goal %.3f (drawn %.3f), worst 10 s %.3f from %.0f s on, %d broken, seed %d\n", i+1, f.Score, f.From, r.WorstWindow, r.WorstAt/1000,
+					len(r.Broken), uint64(f.Seed))
+				for j, dim := range dims {
+					fmt.Fprintf(out, "     %s %.3g\n", dim.Path, vtime.Range{Low: dim.Low, High: dim.High}.At(f.Place[j]))
+				}
+				for _, w := range causes {
+					fmt.Fprintf(out, "   without %-28s worst 10 s %+.3f, goal %+.3f\n", w.What, w.At, w.Goal)
+				}
+				if dir := c.String("days"); dir != "" {
+					path := filepath.Join(dir, fmt.Sprintf("%s-%d.json", e.Name, i+1))
+					if err := errors.Join(os.MkdirAll(dir, 0o755), os.WriteFile(path, experiment.Write(d, e.Variants[0].Policy.Name), 0o644)); err != nil {
+						return err
+					}
+				}
+			}
+			return nil
+		},
+	}
+}
+
+func shrinkCommand(out io.Writer) *cli.Command {
+	return &cli.Command{
+		Name: "shrink", Usage: "find a day that breaks a rule, and cut it down to the smallest that does", ArgsUsage: "EXPERIMENT",
+		Flags: []cli.Flag{&cli.IntFlag{Name: "seeds", Usage: "days that are looked at"}, &cli.Uint64Flag{Name: "first-seed"},
+			&cli.IntFlag{Name: "plays", Usage: "at most, to cut it down", Value: 2000}, &cli.StringFlag{Name: "out", Usage: "file for the small day", Value: "broken.json"}},
+		Action: func(_ context.Context, c *cli.Command) error {
+			e, err := one(c)
+			if err != nil {
+				return err
+			}
+			play := variant(e)
+			for s := range e.Seeds {
+				d, err := e.Day(0, 0, e.First+vtime.Seed(s), nil)
+				if err != nil {
+					return err
+				}
+				r := play(d)
+				if len(r.Broken) == 0 {
+					continue
+				}
+				rule := shrink.Rule(r.Broken[0])
+				small, steps := shrink.Day(d, func(d fleet.Day) bool {
+					for _, b := range play(d).Broken {
+						if shrink.Rule(b) == rule {
+							return true
+						}
+					}
+					return false
+				}, func(d fleet.Day) int { return play(d).Requests }, c.Int("plays"))
+				left := play(small)
+				fmt.Fprintf(out, "seed %d breaks %q: %s\n%d cuts: %d nodes, %d callers, %d troubles, %.1f s, %d requests; before %d, %d, %d, %.1f s, %d\n%s\n",
+					uint64(e.First)+uint64(s), rule, r.Broken[0], len(steps), small.Nodes, len(small.Callers), len(small.Troubles), small.Ms/1000,
+					left.Requests, d.Nodes, len(d.Callers), len(d.Troubles), d.Ms/1000, r.Requests, strings.Join(left.Broken, "\n"))
+				return output(c, "out", func(w io.Writer) error {
+					_, err := w.Write(experiment.Write(small, e.Variants[0].Policy.Name))
+					return err
+				})
+			}
+			fmt.Fprintf(out, "%d days break no rule\n", e.Seeds)
+			return nil
+		},
+	}
+}
+
+func collapseCommand(out io.Writer) *cli.Command {
+	return &cli.Command{
+		Name: "collapse", Usage: "look for overload that outlasts its trigger, and name what ends it", ArgsUsage: "EXPERIMENT",
+		Flags: []cli.Flag{&cli.IntFlag{Name: "seeds"}, &cli.Uint64Flag{Name: "first-seed"}, &cli.StringSliceFlag{Name: "policy"},
+			&cli.StringFlag{Name: "plot", Usage: "file for a plot of the first that is found, with what ends it"}},
+		Action: func(_ context.Context, c *cli.Command) error {
+			e, err := one(c)
+			if err != nil {
+				return err
+			}
+			drawn := false
+			for i, v := range e.Variants {
+				make := v.Policy.Make()
+				play := func(d fleet.Day) fleet.Result { return fleet.Play(d, make) }
+				n, with := 0, 0.0
+				ends := map[string]int{}
+				var names []string
+				for s := range e.Seeds {
+					d, err := e.Day(i, 0, e.First+vtime.Seed(s), nil)
+					if err != nil {
+						return err
+					}
+					f := collapse.Look(d, play)
+					if with += f.With / float64(e.Seeds); !f.Collapse {
+						continue
+					}
+					if n++; n == 1 {
+						for _, x := range f.Ends {
+							names = append(names, x.What)
+						}
+					}
+					for _, x := range f.Ends {
+						if x.Ends {
+							ends[x.What]++
+						}
+					}
+					if !drawn && c.String("plot") != "" {
+						drawn = true
+						if err := drawCollapse(c, fmt.Sprintf("%s, %s, seed %d", e.Name, v.Name, uint64(d.Seed)), d, f, play); err != nil {
+							return err
+						}
+					}
+				}
+				fmt.Fprintf(out, "%-12s %3d of %d days collapse; in time after the trigger %.3f\n", v.Name, n, e.Seeds, with)
+				for _, w := range names {
+					fmt.Fprintf(out, "   %-50s ends %d of %d\n", w, ends[w], n)
+				}
+			}
+			return nil
+		},
+	}
+}
+
+// drawCollapse draws a collapse and the first measure that ends it.
+func drawCollapse(c *cli.Command, title string, d fleet.Day, f collapse.Finding, play func(fleet.Day) fleet.Result) error {
+	all := []report.Play{{Name: "as it is", Result: f.Result}}
+	for _, e := range f.Ends {
+		if e.Ends {
+			d = e.Day
+			all = append(all, report.Play{Name: e.What, Result: play(e.Day)})
+			break
+		}
+	}
+	return output(c, "plot", func(w io.Writer) error {
+		svg, err := report.Day(title, d, all)
+		if err != nil {
+			return err
+		}
+		_, err = w.Write(svg)
+		return err
+	})
+}
+
+func liveCommand(out io.Writer) *cli.Command {
+	return &cli.Command{
+		Name: "live", Usage: "play one day in virtual time and against real nodes on loopback sockets, side by side", ArgsUsage: "EXPERIMENT",
+		Flags: []cli.Flag{&cli.Uint64Flag{Name: "seed", Value: 1}, &cli.StringFlag{Name: "program", Usage: "the node's program; the one beside this by default"},
+			&cli.StringFlag{Name: "plot", Usage: "file for a plot of both"}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			e, err := one(c)
+			if err != nil {
+				return err
+			}
+			d, err := e.Day(0, 0, vtime.Seed(c.Uint64("seed")), nil)
+			if err != nil {
+				return err
+			}
+			return bounded(ctx, c, func(ctx context.Context, program string) error {
+				r, err := live.Play(ctx, program, d)
+				if err != nil {
+					return err
+				}
+				all := []report.Play{{Name: "emulated", Result: fleet.Play(d, fleet.Module)}, {Name: "real", Result: r}}
+				fmt.Fprint(out, report.Text(d, all))
+				fmt.Fprint(out, report.Errors(all[0].Result, r))
+				return output(c, "plot", func(w io.Writer) error {
+					svg, err := report.Day(fmt.Sprintf("%s, seed %d", e.Name, uint64(d.Seed)), d, all)
+					if err != nil {
+						return err
+					}
+					_, err = w.Write(svg)
+					return err
+				})
+			})
+		},
+	}
+}
--- a/cmd/whinrudder-kit/lab.go
+++ b/cmd/whinrudder-kit/lab.go
@@ -6,15 +6,11 @@
 	"io"
 	"os"
 	"path/filepath"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/urfave/cli/v3"
 
-	"whinrudder/internal/emu/study"
 	"whinrudder/internal/lab"
-	"whinrudder/internal/vtime"
 )
 
 // bounded runs something with the node's program that a command line names, or the one beside this, for ten minutes at
@@ -33,28 +29,9 @@
 	return do(ctx, program)
 }
 
-// chosen returns what has the names asked for, in that order, or all.
-func chosen[T any](all []T, names []string, name func(T) string) (out []T, err error) {
-	if len(names) == 0 {
-		return all, nil
-	}
-	var known []string
-	for _, v := range all {
-		known = append(known, name(v))
-	}
-	for _, n := range names {
-		i := slices.Index(known, n)
-		if i < 0 {
-			return nil, fmt.Errorf("lab: %q is none of %s", n, strings.Join(known, ", "))
-		}
-		out = append(out, all[i])
-	}
-	return out, nil
-}
-
 // labCommand plays experiments in virtual time.
 func labCommand(out io.Writer) *cli.Command {
-	return &cli.Command{Name: "lab", Usage: "play experiments in virtual time", Action: missing, Commands: []*cli.Command{{
+	return &cli.Command{Name: "lab", Usage: "play experiments in virtual time", Action: missing, Commands: append(dayCommands(out), []*cli.Command{{
 		Name: "warm-up", Usage: "compare successors that start cold with such as are fed by running nodes",
 		Flags: []cli.Flag{
 			&cli.IntFlag{Name: "seeds", Usage: "how many days", Value: 30},
@@ -129,40 +106,6 @@
 				return err
 			})
 		},
-	}, {
-		Name: "compare", Usage: "play families of days with the module and its rivals, and compare them in pairs",
-		Flags: []cli.Flag{
-			&cli.IntFlag{Name: "seeds", Usage: "how many days of each family", Value: 30},
-			&cli.Uint64Flag{Name: "first-seed", Value: 1},
-			&cli.StringSliceFlag{Name: "family", Usage: "only these families"},
-			&cli.StringSliceFlag{Name: "policy", Usage: "only these policies, the first is what the others are compared with"},
-			&cli.StringFlag{Name: "json", Usage: "file for one JSON line a family and policy"},
-		},
-		Action: func(_ context.Context, c *cli.Command) error {
-			families, err := chosen(study.Families(), c.StringSlice("family"), func(f study.Family) string { return f.Name })
-			if err != nil {
-				return err
-			}
-			variants, err := chosen(study.Variants(), c.StringSlice("policy"), func(v study.Variant) string { return v.Name })
-			if err != nil {
-				return err
-			}
-			if n := c.Int("seeds"); n < 2 || n > 10000 {
-				return fmt.Errorf("lab compare: --seeds is %d, want 2 to 10000", n)
-			}
-			cells := study.Run(families, variants, vtime.Seed(c.Uint64("first-seed")), c.Int("seeds"), func(done, all int) {
-				fmt.Fprintf(os.Stderr, "%d of %d days\n", done, all)
-			})
-			if c.String("json") == "" {
-				return study.Write(out, nil, cells)
-			}
-			f, err := os.Create(c.String("json"))
-			if err != nil {
-				return err
-			}
-			defer f.Close()
-			return study.Write(out, f, cells)
-		},
 	}, {
 		Name: "kept", Usage: "what keeping results costs: engines side by side, a node with and without, a stall, recoveries",
 		Flags: []cli.Flag{
@@ -199,5 +142,5 @@
 	}, {
 		Name: "standard-server", Usage: "Go's standard server, for fronts", Hidden: true,
 		Action: func(context.Context, *cli.Command) error { return lab.Standard(out) },
-	}}}
+	}}...)}
 }
--- /dev/null
+++ b/internal/emu/collapse/collapse.go
@@ -0,0 +1,110 @@
+// Package collapse finds metastable collapse: an overload that outlasts its trigger, because what it sets off keeps it up
+// (Bronson and others, Metastable Failures in Distributed Systems, 2021). It plays a day with and without its triggers, and
+// where the trouble stays it plays the day with each of some measures of the operators, to name what ends it. It knows no I/O.
+package collapse
+
+import (
+	"math"
+	"runtime"
+	"slices"
+
+	"whinrudder/internal/emu/fleet"
+	"whinrudder/internal/vtime"
+)
+
+// Figures of a finding: a trigger's wake is given graceFor, the share of worth is looked at over lookFor after that. It is a
+// collapse if the day holds without the trigger and falls under the half of that with it.
+const (
+	graceFor = 10e3
+	lookFor  = 20e3
+	holds    = 0.8
+	half     = 0.5
+)
+
+// Finding is what a day showed.
+type Finding struct {
+	Collapse bool
+	Until    float64 // the last trigger is over
+	Without  float64 // share of the worth in time, over the look, without the triggers
+	With     float64
+	Ends     []End // what was tried against it
+	Result   fleet.Result
+}
+
+// End is a measure against a collapse, and the share of the worth over a look after it.
+type End struct {
+	What  string
+	Share float64
+	Ends  bool
+	Day   fleet.Day
+}
+
+// Look plays a day whose troubles are the triggers. A day that ends too soon after them for a look and measures shows nothing.
+func Look(d fleet.Day, play func(fleet.Day) fleet.Result) Finding {
+	f := Finding{}
+	for _, t := range d.Troubles {
+		f.Until = max(f.Until, t.At+t.For)
+	}
+	calm := d
+	calm.Troubles = nil
+	days := vtime.Each(2, runtime.GOMAXPROCS(0), func(i int) fleet.Result { return play([]fleet.Day{d, calm}[i]) })
+	f.Result = days[0]
+	from := f.Until + graceFor
+	f.With, f.Without = share(&days[0], from), share(&days[1], from)
+	f.Collapse = f.Without >= holds && f.With < half*f.Without
+	if !f.Collapse {
+		return f
+	}
+	at := from + lookFor
+	for _, m := range measures(d, at) {
+		f.Ends = append(f.Ends, End{What: m.what, Day: m.day})
+	}
+	results := vtime.Each(len(f.Ends), runtime.GOMAXPROCS(0), func(i int) fleet.Result { return play(f.Ends[i].Day) })
+	for i := range f.Ends {
+		e := &f.Ends[i]
+		e.Share = share(&results[i], at+actsFor+graceFor)
+		e.Ends = e.Share >= holds*f.Without
+	}
+	return f
+}
+
+// Needs returns how long a day must be after its last trigger to be looked at with all measures.
+func Needs() float64 { return 2*graceFor + 2*lookFor + actsFor }
+
+// share returns the share of the worth that was got in time over a look.
+func share(r *fleet.Result, from float64) float64 {
+	a, g := 0.0, 0.0
+	for i := int(from / fleet.BinMs()); i < int((from+lookFor)/fleet.BinMs()) && i < len(r.Bins); i++ {
+		a, g = a+r.Bins[i].Asked, g+r.Bins[i].Got
+	}
+	if a == 0 {
+		return math.NaN()
+	}
+	return g / a
+}
+
+// actsFor is how long a measure lasts that is for a time.
+const actsFor = 30e3
+
+type measure struct {
+	what string
+	day  fleet.Day
+}
+
+// measures are what operators can do from a time on.
+func measures(d fleet.Day, at float64) (out []measure) {
+	with := func(what string, t ...fleet.Trouble) {
+		w := d
+		w.Troubles = append(slices.Clone(d.Troubles), t...)
+		out = append(out, measure{what, w})
+	}
+	rest := d.Ms - at
+	with("nothing")
+	with("clients held off to a fifth for 30 s", fleet.Trouble{Kind: fleet.Burst, At: at, For: actsFor, Share: 1, Factor: 0.2})
+	with("the fleet restarted at once, cold", fleet.Trouble{Kind: fleet.Crash, At: at, For: 1000, Share: 1})
+	with("callers keep to a budget of retries of a tenth", fleet.Trouble{Kind: fleet.Tame, At: at, For: rest, Share: 1, Factor: 0.1})
+	with("callers heed credit and advice", fleet.Trouble{Kind: fleet.Heed, At: at, For: rest, Share: 1})
+	with("clients held off, and the budget", fleet.Trouble{Kind: fleet.Burst, At: at, For: actsFor, Share: 1, Factor: 0.2},
+		fleet.Trouble{Kind: fleet.Tame, At: at, For: rest, Share: 1, Factor: 0.1})
+	return out
+}
--- /dev/null
+++ b/internal/emu/collapse/collapse_test.go
@@ -0,0 +1,59 @@
+package collapse
+
+import (
+	"slices"
+	"testing"
+
+	"whinrudder/internal/emu/fleet"
+)
+
+// model is a fleet that serves a share of what is asked; a burst breaks it if it can, and some troubles mend it.
+func model(breaks bool, base float64, mends ...fleet.Kind) func(fleet.Day) fleet.Result {
+	return func(d fleet.Day) fleet.Result {
+		var r fleet.Result
+		for at := 0.0; at < d.Ms; at += fleet.BinMs() {
+			share := base
+			for _, t := range d.Troubles {
+				switch {
+				case t.Kind == fleet.Burst && t.Factor > 1 && breaks && at >= t.At:
+					share = 0.1
+				case at >= t.At && slices.Contains(mends, t.Kind) && t.Factor <= 1:
+					share = base
+				}
+			}
+			r.Bins = append(r.Bins, fleet.Bin{Asked: 1, Got: share})
+		}
+		return r
+	}
+}
+
+// What outlasts its trigger is a collapse, and what ends it is named; a day that is bad by itself, or comes back, is none.
+func TestLook(t *testing.T) {
+	d := fleet.Usual(1)
+	d.Troubles = []fleet.Trouble{{Kind: fleet.Burst, At: 10000, For: 5000, Factor: 2}}
+	d.Ms = 15000 + Needs()
+	for _, c := range []struct {
+		name     string
+		play     func(fleet.Day) fleet.Result
+		collapse bool
+		ends     []string
+	}{
+		{"comes back", model(false, 0.95), false, nil},
+		{"bad by itself", model(true, 0.5), false, nil},
+		{"nothing helps", model(true, 0.95), true, nil},
+		{"a restart helps", model(true, 0.95, fleet.Crash), true, []string{"the fleet restarted at once, cold"}},
+		{"heeding helps", model(true, 0.95, fleet.Heed), true, []string{"callers heed credit and advice"}},
+		{"a budget helps", model(true, 0.95, fleet.Tame), true, []string{"callers keep to a budget of retries of a tenth", "clients held off, and the budget"}},
+	} {
+		f := Look(d, c.play)
+		var ends []string
+		for _, e := range f.Ends {
+			if e.Ends {
+				ends = append(ends, e.What)
+			}
+		}
+		if f.Collapse != c.collapse || !slices.Equal(ends, c.ends) {
+			t.Errorf("%s: %v, %.2f with and %.2f without, ends %q", c.name, f.Collapse, f.With, f.Without, ends)
+		}
+	}
+}
--- /dev/null
+++ b/internal/emu/experiment/day.go
@@ -0,0 +1,232 @@
+package experiment
+
+import (
+	"math"
+	"slices"
+
+	"github.com/valyala/fastjson"
+
+	"whinrudder/internal/emu/clients"
+	"whinrudder/internal/emu/fleet"
+	"whinrudder/internal/emu/habits"
+	"whinrudder/internal/vtime"
+)
+
+// Limits of a day, in the units of a file: they bound what one play may take.
+const (
+	maxNodes    = 2000
+	maxSeconds  = 3600
+	maxCallers  = 1000
+	maxClasses  = 16
+	maxTroubles = 64
+	maxOnly     = 100000
+)
+
+// dayKeys are the keys of a day.
+var dayKeys = []string{"seed", "nodes", "seconds", "load", "cores", "slow", "fast", "cold", "ramp", "crowd_at", "crowd_loss", "fall_at", "runs",
+	"reading", "spread", "classes", "callers", "repeats", "delay_ms", "loss", "list_lag", "session", "drain", "stop", "subjects", "troubles",
+	"cold_fleet", "only", "slack_ms"}
+
+// day reads a day. Times are seconds in a file, but for those whose name says otherwise. What is absent is as on the usual
+// day of the operators.
+func (r *reader) day(v *fastjson.Value, seed vtime.Seed) fleet.Day {
+	d := fleet.Usual(seed)
+	o := r.object("", v, dayKeys...)
+	if o == nil {
+		return d
+	}
+	d.Seed = vtime.Seed(r.seed(o, "day", "seed", uint64(seed)))
+	d.Nodes = r.count(o, "", "nodes", d.Nodes, 1, maxNodes)
+	d.Ms = 1000 * r.figure(o, "", "seconds", d.Ms/1000, 1, maxSeconds)
+	d.Load = r.figure(o, "", "load", d.Load, 0.01, 20)
+	d.Cores = r.count(o, "", "cores", d.Cores, 1, 256)
+	d.Slow, d.Fast = r.span(o, "", "slow", d.Slow, 0.01, 100), r.span(o, "", "fast", d.Fast, 0.01, 100)
+	d.Cold, d.Ramp = r.span(o, "", "cold", d.Cold, 0.01, 1), r.seconds(o, "", "ramp", d.Ramp, 3600)
+	d.CrowdAt, d.CrowdLoss = r.span(o, "", "crowd_at", d.CrowdAt, 0.1, 1000), r.span(o, "", "crowd_loss", d.CrowdLoss, 0, 10)
+	d.FallAt, d.Runs = r.figure(o, "", "fall_at", d.FallAt, 1, 1e6), r.figure(o, "", "runs", d.Runs, 1, 1e6)
+	d.Reading, d.Spread = r.figure(o, "", "reading", d.Reading, 0, 10), r.figure(o, "", "spread", d.Spread, 0, 10)
+	d.Delay, d.Loss = r.span(o, "", "delay_ms", d.Delay, 0, 60e3), r.figure(o, "", "loss", d.Loss, 0, 0.9)
+	d.ListLag, d.Session = 1000*r.figure(o, "", "list_lag", d.ListLag/1000, 0, 600), 1000*r.figure(o, "", "session", d.Session/1000, 0, 600)
+	d.Drain, d.Stop = 1000*r.figure(o, "", "drain", d.Drain/1000, 0, 600), 1000*r.figure(o, "", "stop", d.Stop/1000, 0.2, 600)
+	d.Subjects = r.count(o, "", "subjects", d.Subjects, 1, 1e9)
+	d.ColdFleet = r.flag(o, "", "cold_fleet", d.ColdFleet)
+	d.Slack = r.figure(o, "", "slack_ms", d.Slack, 0, 10e3)
+	if c := o.Get("classes"); c != nil {
+		d.Classes = r.classes(c)
+	}
+	if c := o.Get("callers"); c != nil {
+		d.Callers = r.callers(c)
+	}
+	if c := r.object("repeats", o.Get("repeats"), "share", "after", "most"); c != nil {
+		d.Repeats = clients.Repeats{Share: r.figure(c, "repeats", "share", d.Repeats.Share, 0, 1),
+			After: r.seconds(c, "repeats", "after", d.Repeats.After, 3600), Most: r.count(c, "repeats", "most", d.Repeats.Most, 0, 100)}
+	}
+	for i, t := range r.list("troubles", o.Get("troubles"), maxTroubles) {
+		d.Troubles = append(d.Troubles, r.trouble(at("troubles", i), t))
+	}
+	for i, n := range r.list("only", o.Get("only"), maxOnly) {
+		d.Only = append(d.Only, int(r.number(at("only", i), n, 0, 1<<31)))
+	}
+	if o.Get("only") != nil && d.Only == nil {
+		d.Only = []int{}
+	}
+	slices.Sort(d.Only)
+	return d
+}
+
+func (r *reader) seed(o *fastjson.Value, path, key string, usual uint64) uint64 {
+	v := o.Get(key)
+	if v == nil {
+		return usual
+	}
+	n, err := v.Uint64()
+	if err != nil {
+		r.fault(join(path, key), "is no whole number from 0 on")
+	}
+	return n
+}
+
+// seconds reads a span in seconds.
+func (r *reader) seconds(o *fastjson.Value, path, key string, usual vtime.Range, high float64) vtime.Range {
+	p := r.span(o, path, key, vtime.Range{Low: usual.Low / 1000, High: usual.High / 1000}, 0, high)
+	return vtime.Range{Low: 1000 * p.Low, High: 1000 * p.High}
+}
+
+func (r *reader) classes(v *fastjson.Value) (out []fleet.Class) {
+	sum := 0.0
+	for i, c := range r.list("classes", v, maxClasses) {
+		path := at("classes", i)
+		o := r.object(path, c, "name", "share", "aim_ms", "deadline_ms", "worth", "late", "work", "sleep", "write")
+		if o == nil {
+			continue
+		}
+		usual := vtime.Range{Low: 100, High: 100}
+		k := fleet.Class{Name: r.text(o, path, "name", ""), Share: r.figure(o, path, "share", 1, 0, 1), Aim: r.figure(o, path, "aim_ms", 1000, 1, 3600e3),
+			Deadline: r.figure(o, path, "deadline_ms", 3000, 1, 3600e3), Worth: r.figure(o, path, "worth", 1, 0, 1e6), Late: r.figure(o, path, "late", 0, 0, 1),
+			Work: r.span(o, path, "work", usual, 0.01, 1e6), Sleep: r.span(o, path, "sleep", vtime.Range{}, 0, 3600e3), Write: r.flag(o, path, "write", false)}
+		if k.Deadline < k.Aim {
+			r.fault(path+".deadline_ms", "is %v, which is before the aim", k.Deadline)
+		}
+		sum += k.Share
+		out = append(out, k)
+	}
+	if len(out) == 0 {
+		r.fault("classes", "is empty")
+	} else if math.Abs(sum-1) > 1e-6 {
+		r.fault("classes", "have shares of %v in sum, want 1", sum)
+	}
+	return out
+}
+
+func (r *reader) callers(v *fastjson.Value) (out []habits.Habit) {
+	for i, c := range r.list("callers", v, maxCallers) {
+		path := at("callers", i)
+		o := r.object(path, c, "count", "choice", "tries", "heeds", "wait", "hedge_ms", "copies", "budget", "throttle", "subset", "blind", "pause_ms")
+		if o == nil {
+			continue
+		}
+		h := habits.Habit{Choice: habits.Choice(r.named(o, path, "choice", 0, habits.Choices)), Tries: r.count(o, path, "tries", 3, 0, 1000),
+			Heeds: r.flag(o, path, "heeds", true), Wait: r.figure(o, path, "wait", 0.6, 0.01, 1), Hedge: r.figure(o, path, "hedge_ms", 0, 0, 3600e3),
+			Copies: r.count(o, path, "copies", 1, 1, 10), Budget: r.figure(o, path, "budget", 0, 0, 10), Throttle: r.flag(o, path, "throttle", false),
+			Subset: r.count(o, path, "subset", 0, 0, maxNodes), Blind: r.flag(o, path, "blind", false), Pause: r.figure(o, path, "pause_ms", 0, 0, 60e3)}
+		for range r.count(o, path, "count", 1, 1, maxCallers) {
+			if len(out) < maxCallers {
+				out = append(out, h)
+			}
+		}
+	}
+	if len(out) == 0 {
+		r.fault("callers", "is empty")
+	}
+	return out
+}
+
+func (r *reader) trouble(path string, v *fastjson.Value) (t fleet.Trouble) {
+	o := r.object(path, v, "kind", "at", "for", "share", "factor")
+	if o == nil {
+		return t
+	}
+	if o.Get("kind") == nil {
+		r.fault(path+".kind", "is absent")
+	}
+	t.Kind = fleet.Kind(r.named(o, path, "kind", 0, fleet.Kinds))
+	t.At, t.For = 1000*r.figure(o, path, "at", 0, 0, maxSeconds), 1000*r.figure(o, path, "for", 10, 0.001, maxSeconds)
+	t.Share = r.figure(o, path, "share", 1, 0, 1)
+	low, high := 0.0, 1000.0
+	if t.Kind == fleet.Clock {
+		low, high = -60e3, 60e3
+	}
+	t.Factor = r.figure(o, path, "factor", 1, low, high)
+	if t.Factor == 0 && (t.Kind == fleet.Burst || t.Kind == fleet.Crawl) {
+		r.fault(path+".factor", "is 0")
+		t.Factor = 1
+	}
+	return t
+}
+
+// Write returns a day as a file that gives the same day, with nothing drawn but by its seed.
+func Write(d fleet.Day, policy string) []byte {
+	var a fastjson.Arena
+	object := func(pairs ...any) *fastjson.Value {
+		o := a.NewObject()
+		for i := 0; i < len(pairs); i += 2 {
+			var v *fastjson.Value
+			switch x := pairs[i+1].(type) {
+			case float64:
+				v = a.NewNumberFloat64(x)
+			case int:
+				v = a.NewNumberInt(x)
+			case string:
+				v = a.NewString(x)
+			case bool:
+				v = a.NewFalse()
+				if x {
+					v = a.NewTrue()
+				}
+			case vtime.Range:
+				v = a.NewArray()
+				v.SetArrayItem(0, a.NewNumberFloat64(x.Low))
+				v.SetArrayItem(1, a.NewNumberFloat64(x.High))
+			case vtime.Seed:
+				v = a.NewNumberString(uintText(uint64(x)))
+			case *fastjson.Value:
+				v = x
+			}
+			o.Set(pairs[i].(string), v)
+		}
+		return o
+	}
+	secs := func(r vtime.Range) vtime.Range { return vtime.Range{Low: r.Low / 1000, High: r.High / 1000} }
+	list := func(n int, of func(i int) *fastjson.Value) *fastjson.Value {
+		l := a.NewArray()
+		for i := range n {
+			l.SetArrayItem(i, of(i))
+		}
+		return l
+	}
+	day := object("seed", d.Seed, "nodes", d.Nodes, "seconds", d.Ms/1000, "load", d.Load, "cores", d.Cores, "slow", d.Slow, "fast", d.Fast, "cold", d.Cold,
+		"ramp", secs(d.Ramp), "crowd_at", d.CrowdAt, "crowd_loss", d.CrowdLoss, "fall_at", d.FallAt, "runs", d.Runs, "reading", d.Reading, "spread", d.Spread,
+		"delay_ms", d.Delay, "loss", d.Loss, "list_lag", d.ListLag/1000, "session", d.Session/1000, "drain", d.Drain/1000, "stop", d.Stop/1000,
+		"subjects", d.Subjects, "cold_fleet", d.ColdFleet, "slack_ms", d.Slack,
+		"repeats", object("share", d.Repeats.Share, "after", secs(d.Repeats.After), "most", d.Repeats.Most),
+		"classes", list(len(d.Classes), func(i int) *fastjson.Value {
+			c := d.Classes[i]
+			return object("name", c.Name, "share", c.Share, "aim_ms", c.Aim, "deadline_ms", c.Deadline, "worth", c.Worth, "late", c.Late, "work", c.Work,
+				"sleep", c.Sleep, "write", c.Write)
+		}),
+		"callers", list(len(d.Callers), func(i int) *fastjson.Value {
+			h := d.Callers[i]
+			return object("choice", h.Choice.String(), "tries", h.Tries, "heeds", h.Heeds, "wait", h.Wait, "hedge_ms", h.Hedge, "copies", max(1, h.Copies),
+				"budget", h.Budget, "throttle", h.Throttle, "subset", h.Subset, "blind", h.Blind, "pause_ms", h.Pause)
+		}),
+		"troubles", list(len(d.Troubles), func(i int) *fastjson.Value {
+			t := d.Troubles[i]
+			return object("kind", t.Kind.String(), "at", t.At/1000, "for", t.For/1000, "share", t.Share, "factor", t.Factor)
+		}))
+	if d.Only != nil {
+		day.Set("only", list(len(d.Only), func(i int) *fastjson.Value { return a.NewNumberInt(d.Only[i]) }))
+	}
+	return append(object("name", "replay", "day", day, "variants", list(1, func(int) *fastjson.Value {
+		return object("policy", policy)
+	}), "seeds", 1).MarshalTo(nil), '\n')
+}
--- /dev/null
+++ b/internal/emu/experiment/experiment_test.go
@@ -0,0 +1,164 @@
+package experiment
+
+import (
+	"math"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"whinrudder/internal/emu/clients"
+	"whinrudder/internal/emu/fleet"
+	"whinrudder/internal/emu/habits"
+	"whinrudder/internal/template"
+	"whinrudder/internal/vtime"
+)
+
+// Every fault of a file is named by its path.
+func TestFaultsAreNamed(t *testing.T) {
+	text, err := os.ReadFile("testdata/faults.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	file, want := "", ""
+	check := func() {
+		if file == "" {
+			return
+		}
+		_, err := Parse([]byte(file), "f.jsonnet", template.Evaluate)
+		got := "nothing"
+		if err != nil {
+			if got = err.Error() + "\n"; strings.Contains(got, "RUNTIME") {
+				got, _, _ = strings.Cut(got, "\n")
+				got += "\n"
+			}
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("%s: %s", file, diff)
+		}
+	}
+	for line := range strings.Lines(string(text)) {
+		switch {
+		case strings.HasPrefix(line, "#"):
+		case strings.HasPrefix(line, "< "):
+			want += line[2:]
+		default:
+			check()
+			file, want = strings.TrimSpace(line), ""
+		}
+	}
+	check()
+}
+
+// The days that ship can be read and drawn, each figure within its range, and by the seed alone.
+func TestFamilies(t *testing.T) {
+	for _, f := range Families() {
+		text, _ := Text(f)
+		e, err := Parse(text, f, template.Evaluate)
+		if err != nil || e.Name != f {
+			t.Fatalf("%s: %q %v", f, e.Name, err)
+		}
+		if len(e.Dims()) < 2 {
+			t.Errorf("%s: draws %v", f, e.Dims())
+		}
+		for seed := range vtime.Seed(20) {
+			for v := range e.Variants {
+				d, err := e.Day(v, 0, seed, nil)
+				again, _ := e.Day(v, 0, seed, nil)
+				if err != nil || d.Nodes < 11 || d.Nodes > 14 || cmp.Diff(d, again) != "" {
+					t.Fatalf("%s, seed %d: %d nodes, %v", f, seed, d.Nodes, err)
+				}
+			}
+		}
+	}
+}
+
+// A sweep, ranges, and patches of variants give the figures they say.
+func TestDrawing(t *testing.T) {
+	e, err := Parse([]byte(`{"day":{"load":[0.2,0.4],"nodes":[3,5],"troubles":[{"kind":"crawl","at":[1,3],"factor":4}]},
+		"variants":[{"policy":"module"},{"name":"few","policy":"fixed","limit":3,"day":{"nodes":2}}],"sweep":{"key":"troubles.0.factor","from":2,"to":8,"steps":3}}`), "", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]float64{2, 5, 8}, e.Sweep.Values); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff([]Dim{{"nodes", 3, 5}, {"load", 0.2, 0.4}, {"troubles.0.at", 1, 3}}, e.Dims()); diff != "" {
+		t.Error(diff)
+	}
+	nodes := map[int]int{}
+	for s := range vtime.Seed(300) {
+		d, err := e.Day(0, 5, s, nil)
+		if err != nil || d.Load < 0.2 || d.Load > 0.4 || d.Troubles[0].Factor != 5 || d.Troubles[0].At < 1000 || d.Troubles[0].At > 3000 {
+			t.Fatalf("%+v %v", d, err)
+		}
+		nodes[d.Nodes]++
+	}
+	if len(nodes) != 3 || nodes[3] < 70 || nodes[4] < 70 || nodes[5] < 70 {
+		t.Errorf("nodes are drawn as %v", nodes)
+	}
+	if d, err := e.Day(1, 2, 1, func(string) float64 { return 1 }); err != nil || d.Nodes != 2 || d.Load != 0.4 {
+		t.Errorf("%d nodes, load %v, %v", d.Nodes, d.Load, err)
+	}
+	for _, s := range []Sweep{{Key: "callers.9.tries", Values: []float64{1}}, {Key: "load", Values: nil}, {Key: "troubles.0", Values: []float64{1}}} {
+		if e.SetSweep(s) == nil {
+			t.Errorf("takes %+v", s)
+		}
+	}
+}
+
+// Any day that is written is read again as it was.
+func TestWrittenDaysAreReadAgain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := func(name string, high int) int { return rapid.IntRange(1, high).Draw(t, name) }
+		span := func(name string, most int) vtime.Range {
+			low := n(name, most)
+			return vtime.Range{Low: float64(low), High: float64(low + n(name, most))}
+		}
+		d := fleet.Usual(vtime.Seed(rapid.Uint64().Draw(t, "seed")))
+		d.Nodes, d.Ms, d.Load, d.Cores = n("nodes", 2000), 1000*float64(n("seconds", 3600)), float64(n("load", 200))/64, n("cores", 64)
+		d.Ramp, d.Delay, d.Fast = vtime.Range{Low: 1000, High: 1000 * float64(n("ramp", 60))}, span("delay", 50), span("fast", 4)
+		d.Repeats = clients.Repeats{Share: float64(n("share", 64)) / 64, After: vtime.Range{Low: 1000, High: 8000}, Most: n("most", 9)}
+		d.ColdFleet, d.Session = rapid.Bool().Draw(t, "cold"), 500*float64(n("session", 20))
+		d.Callers = nil
+		for range n("callers", 5) {
+			d.Callers = append(d.Callers, habits.Habit{Choice: habits.Choice(n("choice", len(habits.Choices)) - 1), Tries: n("tries", 9), Heeds: rapid.Bool().Draw(t, "heeds"),
+				Wait: float64(n("wait", 64)) / 64, Hedge: float64(n("hedge", 900)), Copies: n("copies", 4), Budget: float64(n("budget", 64)) / 64,
+				Throttle: rapid.Bool().Draw(t, "throttle"), Subset: n("subset", 9), Blind: rapid.Bool().Draw(t, "blind"), Pause: float64(n("pause", 99))})
+		}
+		for range n("troubles", 4) {
+			d.Troubles = append(d.Troubles, fleet.Trouble{Kind: fleet.Kind(n("kind", len(fleet.Kinds)) - 1), At: 250 * float64(n("at", 99)), For: 250 * float64(n("for", 99)),
+				Share: float64(n("hit", 64)) / 64, Factor: float64(n("factor", 9))})
+		}
+		if rapid.Bool().Draw(t, "some") {
+			d.Only = []int{n("first", 10), 10 + n("second", 1000)}
+		}
+		e, err := Parse(Write(d, "aimd"), "", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := e.Day(0, 0, 99, nil)
+		if diff := cmp.Diff(d, got); err != nil || diff != "" || e.Variants[0].Policy.Name != "aimd" || len(e.Dims()) > 0 {
+			t.Fatal(err, diff)
+		}
+	})
+}
+
+// Every policy makes a node, and every measure can be taken of a day.
+func TestPoliciesAndMeasures(t *testing.T) {
+	d := fleet.Usual(1)
+	d.Nodes, d.Ms, d.Load = 2, 3000, 0.3
+	for _, p := range Policies {
+		r := fleet.Play(d, NewPolicy(p).Make())
+		if r.Requests < 20 || len(r.Broken) > 0 {
+			t.Errorf("%s: %d requests, %v", p, r.Requests, r.Broken)
+		}
+		for _, m := range Measures {
+			if v := m.Of(&r); math.IsNaN(v) || v < 0 {
+				t.Errorf("%s: %s is %v", p, m.Name, v)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/emu/experiment/measures.go
@@ -0,0 +1,49 @@
+package experiment
+
+import "whinrudder/internal/emu/fleet"
+
+// Measure is a figure of a day that was played.
+type Measure struct {
+	Name, Unit string
+	Less       bool // less is better
+	Of         func(r *fleet.Result) float64
+}
+
+// Measures are what can be measured.
+var Measures = []Measure{
+	{"goal", "share", false, func(r *fleet.Result) float64 { return r.Goal }},
+	{"whole", "share", false, func(r *fleet.Result) float64 { return r.Whole }},
+	{"worst_window", "share", false, func(r *fleet.Result) float64 { return r.WorstWindow }},
+	{"worst_class", "share", false, func(r *fleet.Result) float64 { return r.WorstClass }},
+	{"offered", "requests/s", false, func(r *fleet.Result) float64 { return r.Offered }},
+	{"goodput", "requests/s", false, func(r *fleet.Result) float64 { return r.Goodput }},
+	{"p50", "ms", true, func(r *fleet.Result) float64 { return r.Latency.At(0.5) }},
+	{"p90", "ms", true, func(r *fleet.Result) float64 { return r.Latency.At(0.9) }},
+	{"p99", "ms", true, func(r *fleet.Result) float64 { return r.Latency.At(0.99) }},
+	{"p999", "ms", true, func(r *fleet.Result) float64 { return r.Latency.At(0.999) }},
+	{"waste", "share", true, func(r *fleet.Result) float64 { return r.Waste }},
+	{"tries", "a request", true, func(r *fleet.Result) float64 { return float64(r.Tries) / float64(max(1, r.Requests)) }},
+	{"repeats", "a request", true, func(r *fleet.Result) float64 { return float64(r.Repeats) / float64(max(1, r.Requests)) }},
+	{"refused", "a request", true, func(r *fleet.Result) float64 { return float64(r.Refused) / float64(max(1, r.Requests)) }},
+	{"again", "writes", true, func(r *fleet.Result) float64 { return float64(r.Again) }},
+	{"fell", "nodes", true, func(r *fleet.Result) float64 { return float64(r.Fell) }},
+	{"broken", "rules", true, func(r *fleet.Result) float64 { return float64(len(r.Broken)) }},
+}
+
+// MeasureOf returns the measure of a name, or nil.
+func MeasureOf(name string) *Measure {
+	for i := range Measures {
+		if Measures[i].Name == name {
+			return &Measures[i]
+		}
+	}
+	return nil
+}
+
+// MeasureNames lists what can be measured.
+func MeasureNames() (out []string) {
+	for _, m := range Measures {
+		out = append(out, m.Name)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/emu/live/live_test.go
@@ -0,0 +1,69 @@
+package live
+
+import (
+	"context"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"whinrudder/internal/emu/experiment"
+	"whinrudder/internal/emu/fleet"
+	"whinrudder/internal/settings"
+)
+
+// A process is configured as the emulated node is.
+func TestConfig(t *testing.T) {
+	d := fleet.Usual(1)
+	text, err := config(d, d.Settings(true), "n1", "127.0.0.1:1", "127.0.0.1:2", 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := settings.ParseConfig(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(d.Settings(true), c.Settings.Policy); diff != "" || c.Seed != 7 || c.Settings.Classes[2] != "payout-book" {
+		t.Error(diff)
+	}
+}
+
+// Two real nodes, one of which dies and one of which is replaced, serve a short day. How well is the machine's affair: what is
+// looked at is that requests are served by all lives of the nodes, and that each process is gone at the end.
+func TestAShortDay(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "whinrudder")
+	if out, err := exec.Command("go", "build", "-o", program, "whinrudder/cmd/whinrudder").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	e, err := experiment.Parse([]byte(`{"day":{"nodes":2,"seconds":5,"load":0.3,"slack_ms":5000,"stop":2,"drain":0.5,"list_lag":0.2,
+		"classes":[{"name":"quote","aim_ms":1000,"deadline_ms":2000,"work":60}],
+		"troubles":[{"kind":"crash","at":1,"for":1,"share":0.5},{"kind":"deploy","at":3,"for":0.1,"share":0.5}]}}`), "", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err := e.Day(0, 0, 1, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithDeadline(t.Context(), time.Now().Add(time.Minute))
+	defer cancel()
+	r, err := Play(ctx, program, d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.Requests < 50 || r.Latency.Count() == 0 || r.Bins[2].Up != 1 || r.Bins[5].Up != 2 {
+		t.Errorf("%+v", r)
+	}
+	for _, b := range r.Broken {
+		t.Log(b) // on a machine that stands still for seconds an answer is late
+	}
+	d.Nodes = maxNodes + 1
+	if _, err := Play(ctx, program, d); err == nil {
+		t.Error("too many nodes are played")
+	}
+	if _, err := Play(ctx, filepath.Join(t.TempDir(), "none"), fleet.Day{Nodes: 1, Cores: 1, Classes: d.Classes, Callers: d.Callers, Ms: 1000, Load: 0.1}); err == nil {
+		t.Error("a program that is not there is played")
+	}
+}
--- /dev/null
+++ b/internal/emu/report/report.go
@@ -0,0 +1,259 @@
+// Package report draws what was played: plots of days and of studies, and one page with all of it that opens without a
+// network.
+package report
+
+import (
+	"bytes"
+	"fmt"
+	"html/template"
+	"io"
+	"math"
+	"strings"
+
+	"whinrudder/internal/emu/chart"
+	"whinrudder/internal/emu/experiment"
+	"whinrudder/internal/emu/fleet"
+	"whinrudder/internal/emu/study"
+)
+
+// Named is a plot with a name that may be that of a file.
+type Named struct {
+	Name string
+	SVG  []byte
+}
+
+// Play is what a variant did on a day.
+type Play struct {
+	Name   string
+	Result fleet.Result
+}
+
+// smooth is how many bins a point of a time series is the mean of: two seconds.
+const smooth = 4
+
+// Day draws a day that was played, with its troubles shaded: worth answered in time, tries a request, what runs in the fleet.
+func Day(title string, d fleet.Day, plays []Play) ([]byte, error) {
+	var shades []chart.Shade
+	for _, t := range d.Troubles {
+		shades = append(shades, chart.Shade{From: t.At / 1000, To: (t.At + t.For) / 1000, Name: t.Kind.String()})
+	}
+	series := func(of func(part []fleet.Bin) float64) (out []chart.Line) {
+		for _, p := range plays {
+			l := chart.Line{Name: p.Name}
+			for i := smooth; i <= len(p.Result.Bins); i++ {
+				l.X = append(l.X, float64(i)*fleet.BinMs()/1000)
+				l.Y = append(l.Y, of(p.Result.Bins[i-smooth:i]))
+			}
+			out = append(out, l)
+		}
+		return out
+	}
+	asked := 0.0 // requests that a unit of worth stands for
+	for _, c := range d.Classes {
+		asked += c.Share * c.Worth
+	}
+	return chart.SVG(
+		chart.Panel{Title: title, Y: "worth in time, share", High: 1.02, Shades: shades, Lines: series(func(part []fleet.Bin) float64 {
+			a, g := 0.0, 0.0
+			for _, b := range part {
+				a, g = a+b.Asked, g+b.Got
+			}
+			return g / max(1e-9, a)
+		})},
+		chart.Panel{Y: "tries a request", Shades: shades, Lines: series(func(part []fleet.Bin) float64 {
+			a, n := 0.0, 0
+			for _, b := range part {
+				a, n = a+b.Asked, n+b.Tries
+			}
+			return float64(n) * asked / max(1e-9, a)
+		})},
+		chart.Panel{X: "seconds", Y: "runs in the fleet", Shades: shades, Lines: series(func(part []fleet.Bin) float64 {
+			n := 0
+			for _, b := range part {
+				n += b.Running
+			}
+			return float64(n) / float64(len(part))
+		})})
+}
+
+// Study draws a study: over its sweep where it has one, else the differences to the first variant.
+func Study(s *study.Study) (out []Named, err error) {
+	cells := s.Cells()
+	add := func(name string, svg []byte, fault error) {
+		if fault != nil && err == nil {
+			err = fault
+		}
+		out = append(out, Named{strings.ReplaceAll(s.Name+"-"+name, " ", "-"), svg})
+	}
+	if s.Sweep == "" {
+		if rows := differences(cells, s.Variants[0]); len(rows) > 0 {
+			svg, fault := chart.Intervals(s.Name+": "+s.Measure[0]+" less that of "+s.Variants[0], s.Measure[0], rows)
+			add("differences", svg, fault)
+		}
+		return out, err
+	}
+	for _, name := range s.Measure {
+		m := experiment.MeasureOf(name)
+		svg, fault := chart.SVG(chart.Panel{Title: s.Name + ": " + name + " by " + s.Sweep, X: s.Sweep, Y: name + ", " + m.Unit, Lines: lines(s, cells, name, "")})
+		add(name, svg, fault)
+	}
+	has := func(name string) bool {
+		for _, m := range s.Measure {
+			if m == name {
+				return true
+			}
+		}
+		return false
+	}
+	if has("offered") && has("goodput") {
+		svg, fault := chart.SVG(chart.Panel{Title: s.Name + ": goodput by offered load", X: "offered, requests/s", Y: "served by the aim, requests/s",
+			Diagonal: true, Lines: lines(s, cells, "goodput", "offered")})
+		add("goodput-by-offered", svg, fault)
+	}
+	if has("offered") && (has("p50") || has("p99")) {
+		var all []chart.Line
+		for _, q := range []string{"p50", "p90", "p99", "p999"} {
+			if has(q) {
+				for _, l := range lines(s, cells, q, "offered") {
+					l.Name += " " + q
+					all = append(all, l)
+				}
+			}
+		}
+		svg, fault := chart.SVG(chart.Panel{Title: s.Name + ": latency by offered load", X: "offered, requests/s", Y: "ms", Lines: all})
+		add("latency-by-offered", svg, fault)
+	}
+	return out, err
+}
+
+// lines draws a measure of each variant by the sweep, or by the mean of another measure.
+func lines(s *study.Study, cells []study.Cell, name, by string) (out []chart.Line) {
+	find := func(c study.Cell, name string) (m study.Measured) {
+		for _, m := range c.Measured {
+			if m.Name == name {
+				return m
+			}
+		}
+		return m
+	}
+	for _, v := range s.Variants {
+		l := chart.Line{Name: v}
+		for _, c := range cells {
+			if c.Variant != v {
+				continue
+			}
+			x, m := c.X, find(c, name)
+			if by != "" {
+				x = find(c, by).Mean
+			}
+			l.X, l.Y, l.Low, l.High = append(l.X, x), append(l.Y, m.Mean), append(l.Low, m.Low), append(l.High, m.High)
+		}
+		out = append(out, l)
+	}
+	return out
+}
+
+func differences(cells []study.Cell, first string) (rows []chart.Row) {
+	for _, c := range cells {
+		if c.Variant != first {
+			m := c.Measured[0]
+			rows = append(rows, chart.Row{Name: c.Variant, Mean: m.Less, Low: m.Lower, High: m.Upper})
+		}
+	}
+	return rows
+}
+
+// Families draws the differences of many studies in one plot.
+func Families(all []*study.Study) ([]byte, error) {
+	var rows []chart.Row
+	for _, s := range all {
+		for _, r := range differences(s.Cells(), s.Variants[0]) {
+			r.Name = s.Name + ", " + r.Name
+			rows = append(rows, r)
+		}
+	}
+	return chart.Intervals("difference to "+all[0].Variants[0]+", 95%", all[0].Measure[0], rows)
+}
+
+// Section is a part of a page.
+type Section struct {
+	Title string
+	Text  string // as it stands, in a fixed width
+	Plots []Named
+}
+
+// svg returns a plot without the head of a file, as it stands inside of a page.
+func (n Named) svg() template.HTML {
+	b := n.SVG
+	if i := bytes.Index(b, []byte("<svg")); i > 0 {
+		b = b[i:]
+	}
+	return template.HTML(b)
+}
+
+var page = template.Must(template.New("page").Funcs(template.FuncMap{"svg": Named.svg}).Parse(`<!DOCTYPE html>
+<html lang="en"><head><meta charset="utf-8"><title>{{.Title}}</title>
+<style>body{font-family:sans-serif;max-width:1100px;margin:2em auto;color:#222}pre{overflow-x:auto;background:#f5f5f5;padding:.7em;font-size:12px}
+svg{max-width:100%;height:auto}nav a{margin-right:1em}</style></head><body><h1>{{.Title}}</h1>
+<nav>{{range $i, $s := .Sections}}<a href="#s{{$i}}">{{$s.Title}}</a>{{end}}</nav>
+{{range $i, $s := .Sections}}<section id="s{{$i}}"><h2>{{$s.Title}}</h2>{{if $s.Text}}<pre>{{$s.Text}}</pre>{{end}}
+{{range $s.Plots}}<figure>{{svg .}}<figcaption>{{.Name}}</figcaption></figure>{{end}}</section>
+{{end}}</body></html>
+`))
+
+// Write writes a page.
+func Write(w io.Writer, title string, sections []Section) error {
+	return page.Execute(w, struct {
+		Title    string
+		Sections []Section
+	}{title, sections})
+}
+
+// Text tells a result of a day as people read it.
+func Text(d fleet.Day, plays []Play) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "seed %d, %d nodes of %d cores, %d callers, load %.2f, %.0f s\n", uint64(d.Seed), d.Nodes, d.Cores, len(d.Callers), d.Load, d.Ms/1000)
+	for _, t := range d.Troubles {
+		fmt.Fprintf(&b, "  %5.1f to %5.1f s  %-9s share %.2f, factor %.2f\n", t.At/1000, (t.At+t.For)/1000, t.Kind, t.Share, t.Factor)
+	}
+	fmt.Fprintf(&b, "%-12s %6s %6s %13s %6s %9s %8s %6s %6s %5s %7s  %s\n", "", "goal", "whole", "worst 10 s at", "class", "requests", "tries", "waste", "again",
+		"fell", "broken", "latency in ms")
+	for _, p := range plays {
+		r := p.Result
+		fmt.Fprintf(&b, "%-12s %6.3f %6.3f %6.3f %4.0f s %6.3f %9d %8.2f %6.3f %6d %5d %7d  %v\n", p.Name, r.Goal, r.Whole, r.WorstWindow, r.WorstAt/1000,
+			r.WorstClass, r.Requests, float64(r.Tries)/float64(max(1, r.Requests)), r.Waste, r.Again, r.Fell, len(r.Broken), r.Latency)
+		for _, x := range r.Broken {
+			fmt.Fprintln(&b, "   ", x)
+		}
+	}
+	return b.String()
+}
+
+// Errors tells how far a play in virtual time is from a real one.
+func Errors(emulated, real fleet.Result) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%-14s %9s %9s %9s\n", "", "emulated", "real", "error")
+	for _, m := range experiment.Measures {
+		if x, y := m.Of(&emulated), m.Of(&real); m.Name != "broken" {
+			fmt.Fprintf(&b, "%-14s %9.3f %9.3f %+9.3f\n", m.Name, x, y, x-y)
+		}
+	}
+	for i := range emulated.ByClass {
+		x, y := emulated.ByClass[i], real.ByClass[i]
+		fmt.Fprintf(&b, "%-14s %9.3f %9.3f %+9.3f\n", fmt.Sprint("class ", i), x, y, x-y)
+	}
+	var off float64
+	n := 0
+	for i := 0; i+smooth <= min(len(emulated.Bins), len(real.Bins)); i += smooth {
+		a, x, y := 0.0, 0.0, 0.0
+		for j := i; j < i+smooth; j++ {
+			a, x, y = a+emulated.Bins[j].Asked, x+emulated.Bins[j].Got, y+real.Bins[j].Got
+		}
+		if a > 0 {
+			off += math.Abs(x-y) / a
+			n++
+		}
+	}
+	fmt.Fprintf(&b, "mean absolute error of the share in time over %d times of 2 s: %.3f\n", n, off/float64(max(1, n)))
+	return b.String()
+}
--- /dev/null
+++ b/internal/emu/study/lines.go
@@ -0,0 +1,111 @@
+package study
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+
+	"github.com/valyala/fastjson"
+
+	"whinrudder/internal/emu/experiment"
+)
+
+// WriteLines writes studies as JSON lines: for each one line of type "study", and one of type "day" for each day played.
+func WriteLines(w io.Writer, all []*Study) error {
+	b := bufio.NewWriter(w)
+	var a fastjson.Arena
+	texts := func(v []string) *fastjson.Value {
+		l := a.NewArray()
+		for i, x := range v {
+			l.SetArrayItem(i, a.NewString(x))
+		}
+		return l
+	}
+	line := func(o *fastjson.Value) {
+		b.Write(append(o.MarshalTo(nil), '\n'))
+		a.Reset()
+	}
+	for _, s := range all {
+		o := a.NewObject()
+		o.Set("type", a.NewString("study"))
+		o.Set("name", a.NewString(s.Name))
+		o.Set("sweep", a.NewString(s.Sweep))
+		o.Set("variants", texts(s.Variants))
+		o.Set("measure", texts(s.Measure))
+		o.Set("effect", a.NewNumberFloat64(s.Effect))
+		o.Set("seeds", a.NewNumberInt(s.Seeds))
+		line(o)
+		for _, d := range s.Days {
+			o := a.NewObject()
+			o.Set("type", a.NewString("day"))
+			o.Set("study", a.NewString(s.Name))
+			o.Set("variant", a.NewString(d.Variant))
+			if s.Sweep != "" {
+				o.Set("x", a.NewNumberFloat64(d.X))
+			}
+			o.Set("seed", a.NewNumberString(fmt.Sprint(d.Seed)))
+			for i, m := range s.Measure {
+				o.Set(m, a.NewNumberFloat64(d.Values[i]))
+			}
+			o.Set("nodes_fell", a.NewNumberInt(d.Fell))
+			o.Set("rules_broken", texts(d.Broken))
+			line(o)
+		}
+	}
+	return b.Flush()
+}
+
+// maxLine bounds a line of a file of results.
+const maxLine = 1 << 20
+
+// ReadLines reads what WriteLines wrote. The error names the line.
+func ReadLines(r io.Reader) (out []*Study, err error) {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, maxLine)
+	by := map[string]*Study{}
+	for n := 1; lines.Scan(); n++ {
+		v, err := fastjson.ParseBytes(lines.Bytes())
+		if err != nil {
+			return nil, fmt.Errorf("results: line %d: %w", n, err)
+		}
+		texts := func(key string) (out []string) {
+			for _, e := range v.GetArray(key) {
+				out = append(out, string(e.GetStringBytes()))
+			}
+			return out
+		}
+		switch kind := string(v.GetStringBytes("type")); kind {
+		case "study":
+			s := &Study{Name: string(v.GetStringBytes("name")), Sweep: string(v.GetStringBytes("sweep")), Variants: texts("variants"),
+				Measure: texts("measure"), Effect: v.GetFloat64("effect"), Seeds: v.GetInt("seeds")}
+			if len(s.Measure) == 0 || len(s.Variants) == 0 || by[s.Name] != nil {
+				return nil, fmt.Errorf("results: line %d: study %q has no variants or no measures, or is there twice", n, s.Name)
+			}
+			for _, m := range s.Measure {
+				if experiment.MeasureOf(m) == nil {
+					return nil, fmt.Errorf("results: line %d: measure %q is not known", n, m)
+				}
+			}
+			by[s.Name] = s
+			out = append(out, s)
+		case "day":
+			s := by[string(v.GetStringBytes("study"))]
+			if s == nil {
+				return nil, fmt.Errorf("results: line %d: a day of no study", n)
+			}
+			d := Played{Family: s.Name, Variant: string(v.GetStringBytes("variant")), X: v.GetFloat64("x"), Seed: v.GetUint64("seed"),
+				Fell: v.GetInt("nodes_fell"), Broken: texts("rules_broken")}
+			for _, m := range s.Measure {
+				x := v.Get(m)
+				if x == nil || x.Type() != fastjson.TypeNumber {
+					return nil, fmt.Errorf("results: line %d: %s is absent", n, m)
+				}
+				d.Values = append(d.Values, x.GetFloat64())
+			}
+			s.Days = append(s.Days, d)
+		default:
+			return nil, fmt.Errorf("results: line %d: type %q is not known", n, kind)
+		}
+	}
+	return out, lines.Err()
+}
