Move the warm-up experiment onto the emulator's kernel and worker pools; lab speed

The experiment had a model of its own in steps of 1 ms. Its node now stands before the event-driven pools, which warm by work as well; the older model is gone.

--- a/cmd/whinrudder-kit/days.go
+++ b/cmd/whinrudder-kit/days.go
@@ -284,6 +284,21 @@
 		Flags: []cli.Flag{&cli.StringFlag{Name: "out", Usage: "file", Value: "report.html"},
 			&cli.StringSliceFlag{Name: "experiment", Usage: "file that results of its name were played from, to play the worst days again"}},
 		Action: func(_ context.Context, c *cli.Command) error { return writeReport(c) },
+	}, {
+		Name: "speed", Usage: "play the usual day with more and more nodes, and tell time and memory",
+		Flags: []cli.Flag{&cli.IntSliceFlag{Name: "nodes", Value: []int{4, 14, 40, 400, 1000}}, &cli.FloatFlag{Name: "seconds", Value: 20}},
+		Action: func(_ context.Context, c *cli.Command) error {
+			for _, n := range c.IntSlice("nodes") {
+				if n < 1 || n > 2000 {
+					return fmt.Errorf("lab speed: --nodes has %d, want 1 to 2000", n)
+				}
+			}
+			if s := c.Float("seconds"); !(s >= 1 && s <= 3600) {
+				return fmt.Errorf("lab speed: --seconds is %v, want 1 to 3600", s)
+			}
+			study.WriteSpeed(out, study.Speed(c.IntSlice("nodes"), c.Float("seconds")))
+			return nil
+		},
 	}, huntCommand(out), shrinkCommand(out), collapseCommand(out), liveCommand(out)}
 }
 
--- a/internal/emu/workers/workers.go
+++ b/internal/emu/workers/workers.go
@@ -18,6 +18,7 @@
 	Speed      float64 // of a warm core; a standard one has 1
 	ColdFrom   float64 // share of the speed at which a cold pool starts; 1: it is warm
 	Ramp       float64 // time after which it is warm; its speed rises evenly
+	RampWork   float64 // work after which it is warm, if that comes first; 0: time alone counts
 	CrowdAt    float64 // requests on the cores, for each core, past which they get less done in total
 	CrowdLoss  float64 // share of the speed lost for each request a core beyond that
 	FallAt     float64 // mean requests on the cores, for each core, that a warm pool survives; 0: any
@@ -74,6 +75,7 @@
 	started float64
 	at      float64 // of the figures below
 	service float64 // work that a job on the cores all the time has had
+	done    float64 // work of all jobs
 	rate    float64 // of it, a millisecond
 	mean    float64 // requests on the cores, for each core, over the window
 	busy    float64 // share of the cores busy, over gaugeFor
@@ -103,7 +105,11 @@
 	if l.p.ColdFrom >= 1 || l.p.Ramp <= 0 {
 		return 1
 	}
-	return min(1, l.p.ColdFrom+(1-l.p.ColdFrom)*(l.k.Now()-l.started)/l.p.Ramp)
+	up := (l.k.Now() - l.started) / l.p.Ramp
+	if l.p.RampWork > 0 {
+		up = max(up, l.done/l.p.RampWork)
+	}
+	return l.p.ColdFrom + (1-l.p.ColdFrom)*min(1, up)
 }
 
 // On returns how many requests want a core, those that are read included.
@@ -174,6 +180,7 @@
 	}
 	l.at = l.k.Now()
 	l.service += l.rate * dt
+	l.done += l.rate * dt * float64(l.on.Len())
 	a := float64(l.on.Len()) / float64(l.p.Cores)
 	l.busy += (min(1, a) - l.busy) * -math.Expm1(-dt/gaugeFor)
 	if l.p.FallWindow > 0 {
--- a/internal/emu/workers/workers_test.go
+++ b/internal/emu/workers/workers_test.go
@@ -8,9 +8,7 @@
 
 	"github.com/google/go-cmp/cmp"
 	"gonum.org/v1/gonum/stat/distuv"
-	"pgregory.net/rapid"
 
-	"whinrudder/internal/poolmodel"
 	"whinrudder/internal/vtime"
 )
 
@@ -128,65 +126,6 @@
 	}
 }
 
-// The pool agrees with the older model that moves in steps, in what it does and, within steps, when.
-func TestAgreesWithTheModelInSteps(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		p := Params{Cores: rapid.IntRange(1, 6).Draw(t, "cores"), Speed: rapid.Float64Range(0.5, 1.5).Draw(t, "speed"),
-			ColdFrom: rapid.SampledFrom([]float64{0.2, 0.6, 1}).Draw(t, "cold from"), Ramp: 5000, CrowdAt: 2, CrowdLoss: 0.05, FallWindow: 1500}
-		const tick = 0.25
-		var k vtime.Kernel
-		type ended struct {
-			kind Kind
-			id   int
-		}
-		got, want := map[ended]float64{}, map[ended]float64{}
-		l := New(&k, p, func(e Event) { got[ended{e.Kind, e.ID}] = k.Now() })
-		old := poolmodel.New(poolmodel.Params{Cores: p.Cores, Speed: p.Speed, ColdFrom: p.ColdFrom, Ramp: p.Ramp, CrowdAt: p.CrowdAt,
-			CrowdLoss: p.CrowdLoss, FallWindow: p.FallWindow, Tick: tick}, 0)
-		take := func(now float64) {
-			for _, e := range old.Step(now) {
-				want[ended{Kind(e.Kind), e.ID}] = now
-			}
-		}
-		now, run := 0.0, []int{}
-		for id := range rapid.IntRange(1, 20).Draw(t, "requests") {
-			w := Work{Read: rapid.Float64Range(1, 50).Draw(t, "read"), Run: rapid.Float64Range(1, 300).Draw(t, "run"),
-				Sleep: rapid.SampledFrom([]float64{0, 100}).Draw(t, "sleep")}
-			to := now + float64(rapid.IntRange(0, 200).Draw(t, "ms"))
-			for ; now < to; now += tick {
-				take(now)
-			}
-			k.Run(now)
-			switch rapid.IntRange(0, 3).Draw(t, "what") {
-			case 0:
-				l.Arrive(id, w)
-				old.Arrive(id, poolmodel.Work(w))
-			case 1:
-				if len(run) > 0 && l.runs[run[0]] != nil && old.Stop(run[0]) {
-					l.Stop(run[0])
-					run = run[1:]
-				}
-			default:
-				l.Start(id, w)
-				old.Start(id, poolmodel.Work(w))
-				run = append(run, id)
-			}
-		}
-		for end := now + 60000; now < end && len(want) < len(got)+40; now += tick {
-			take(now)
-		}
-		k.Run(now)
-		if len(got) != len(want) {
-			t.Fatalf("%v, the model in steps has %v", got, want)
-		}
-		for e, at := range want {
-			if d := math.Abs(got[e] - at); d > 0.02*at+20*tick {
-				t.Fatalf("%v at %v, the model in steps at %v", e, got[e], at)
-			}
-		}
-	})
-}
-
 // What a pool does with one request, by hand: waits, crawls, pauses, a cold start, a stop and a fall.
 func TestOneByOne(t *testing.T) {
 	type step struct {
@@ -262,6 +201,12 @@
 	if !(l.Warm() == 1) {
 		t.Error("it is not warm")
 	}
+	var k2 vtime.Kernel // warm by what it does: the work done grows as exp(0.8 t / 1000)
+	l = New(&k2, Params{Cores: 1, Speed: 1, ColdFrom: 0.2, Ramp: 1e9, RampWork: 1000}, func(e Event) {
+		near(t, "a start that warms by work", e.Took, 2000, 0.02)
+	})
+	l.Start(1, Work{Run: 250 * math.Expm1(1.6)})
+	k2.Run(20000)
 }
 
 // BenchmarkRun is the life of a run, with so many others on the cores.
--- a/internal/lab/day.go
+++ b/internal/lab/day.go
@@ -11,7 +11,7 @@
 	"gonum.org/v1/gonum/stat/distuv"
 
 	"whinrudder"
-	"whinrudder/internal/poolmodel"
+	"whinrudder/internal/emu/workers"
 )
 
 // The habits and figures of the days: the ranges in which the operators of tunis-payouts have them.
@@ -38,12 +38,13 @@
 }
 
 const (
-	cores     = 6
-	callers   = 4
-	heardFor  = 1000
-	heldKB    = 39.0
-	runFactor = 16.0
-	runsFill  = 16 // running requests a core that fill the memory
+	cores      = 6
+	callers    = 4
+	heardFor   = 1000
+	gaugeAfter = 0.2 // answers of the worker pool to a poll take so long
+	heldKB     = 39.0
+	runFactor  = 16.0
+	runsFill   = 16 // running requests a core that fill the memory
 )
 
 // nodeSettings are those of a node of the days.
@@ -71,7 +72,7 @@
 	rank   float64
 	kb     float64
 	wait   float64 // how long its caller waits for this try
-	work   poolmodel.Work
+	work   workers.Work
 }
 
 // traffic is what a fleet's callers ask: it does not belong to one machine.
@@ -83,10 +84,10 @@
 }
 
 // machine draws one of the two models: half of a fleet has each.
-func machine(rng *rand.Rand, old bool) poolmodel.Params {
-	p := poolmodel.Params{Cores: cores, Speed: between(rng, 1.1, 1.5), ColdFrom: between(rng, 0.2, 0.6),
+func machine(rng *rand.Rand, old bool) workers.Params {
+	p := workers.Params{Cores: cores, Speed: between(rng, 1.1, 1.5), ColdFrom: between(rng, 0.2, 0.6),
 		Ramp: between(rng, 3000, 17000), CrowdAt: between(rng, 2, 4), CrowdLoss: between(rng, 0.03, 0.1), FallAt: 8,
-		FallWindow: 1500, Tick: 1}
+		FallWindow: 1500}
 	slow := between(rng, 0.5, 0.7)
 	if old {
 		p.Speed = slow
@@ -118,7 +119,7 @@
 }
 
 // arrivals draws the tries from one time to another, as many as take the given share of the machine's cores.
-func (t traffic) arrivals(rng *rand.Rand, p poolmodel.Params, load, from, to float64) (out []arrival) {
+func (t traffic) arrivals(rng *rand.Rand, p workers.Params, load, from, to float64) (out []arrival) {
 	gap := t.meanWork() / (p.Speed * cores * load)
 	mean := 0.0
 	for i, c := range classes {
@@ -131,7 +132,7 @@
 			x -= classes[a.class].share
 		}
 		a.wait = classes[a.class].deadline * classes[a.class].patienceOf
-		a.work = poolmodel.Work{Read: mean * t.reading, Run: longTailed(rng, t.mean[a.class], t.cv),
+		a.work = workers.Work{Read: mean * t.reading, Run: longTailed(rng, t.mean[a.class], t.cv),
 			Sleep: longTailed(rng, t.sleep[a.class], 0.3)}
 		out = append(out, a)
 	}
--- a/internal/lab/host.go
+++ b/internal/lab/host.go
@@ -11,8 +11,9 @@
 	"whinrudder"
 	"whinrudder/internal/core"
 	"whinrudder/internal/emu/habits"
+	"whinrudder/internal/emu/workers"
 	"whinrudder/internal/eventlog"
-	"whinrudder/internal/poolmodel"
+	"whinrudder/internal/vtime"
 )
 
 func xxhash64(s string) uint64 { return xxhash.Sum64String(s) }
@@ -26,10 +27,13 @@
 // host is one node in virtual time: the core before a modelled pool and modelled callers.
 type host struct {
 	core     *core.Core
-	pool     *poolmodel.Pool
-	now      float64
+	k        vtime.Kernel
+	pool     *workers.Pool
 	arrivals []arrival
 	next     int // of the arrivals
+	arrive   vtime.Timer
+	tick     vtime.Timer // the core's
+	stepping bool
 	heeds    []bool
 	in       []core.Input
 	credit   []habits.Credit // by caller
@@ -44,64 +48,89 @@
 func (sink) Deliver(core.Answer) {}
 
 // newHost returns a node that starts now.
-func newHost(p poolmodel.Params, t traffic, arrivals []arrival, now float64) (*host, error) {
+func newHost(p workers.Params, t traffic, arrivals []arrival, now float64) (*host, error) {
 	cold := p.ColdFrom < 1
 	c, err := core.New(nodeSettings(cold), 1)
 	if err != nil {
 		return nil, err
 	}
-	h := &host{core: c, pool: poolmodel.New(p, now), now: now, arrivals: arrivals, heeds: t.heeds,
-		credit: make([]habits.Credit, callers), served: make([]float64, len(arrivals))}
+	h := &host{core: c, arrivals: arrivals, heeds: t.heeds, credit: make([]habits.Credit, callers), served: make([]float64, len(arrivals))}
+	h.k.Run(now)
+	h.pool = workers.New(&h.k, p, h.happened)
 	for i := range h.credit {
 		h.credit[i].Value = -1
 	}
-	h.in = append(h.in, core.Bound{Cold: cold}, core.Synced{})
+	h.tick.Do = func(float64) { h.step() }
+	h.arrive.Do = func(float64) {
+		h.send(h.next)
+		h.next++
+		h.await()
+	}
+	h.await()
+	h.tell(core.Bound{Cold: cold}, core.Synced{})
 	return h, nil
 }
 
-// run plays until a time, a millisecond a step.
-func (h *host) run(to float64) {
-	for h.now < to && !h.fell {
-		h.now++
-		h.arrive()
-		for _, e := range h.pool.Step(h.now) {
-			h.happened(e)
-		}
-		for len(h.in) > 0 || h.core.Next() > 0 && h.core.Next() <= h.now {
-			in := h.in
-			h.in = nil
-			for _, o := range h.core.Step(h.now, in) {
-				h.carry(o)
-			}
-		}
+// run plays until a time, or until the worker pool has fallen.
+func (h *host) run(to float64) { h.k.Run(to) }
+
+// await sets the timer of the next arrival.
+func (h *host) await() {
+	if h.next < len(h.arrivals) {
+		h.k.Set(&h.arrive, h.arrivals[h.next].at)
 	}
 }
 
-// arrive lets the callers send what they want to send, as far as their credit goes.
-func (h *host) arrive() {
-	for ; h.next < len(h.arrivals) && h.arrivals[h.next].at <= h.now; h.next++ {
-		a := &h.arrivals[h.next]
-		c := &h.credit[a.caller]
-		if h.heeds[a.caller] && !c.Allows(h.now, heardFor, a.coin) {
-			continue // it goes elsewhere
+// send lets a caller send what it wants to send, as far as its credit goes.
+func (h *host) send(n int) {
+	a := &h.arrivals[n]
+	c := &h.credit[a.caller]
+	if h.fell || h.heeds[a.caller] && !c.Allows(h.k.Now(), heardFor, a.coin) {
+		return // it goes elsewhere
+	}
+	c.Out++
+	h.pool.Arrive(n, a.work)
+}
+
+// tell hands something to the core.
+func (h *host) tell(in ...core.Input) {
+	h.in = append(h.in, in...)
+	h.step()
+}
+
+// step lets the core take what there is.
+func (h *host) step() {
+	if h.stepping || h.fell {
+		return
+	}
+	h.stepping = true
+	now := h.k.Now()
+	for len(h.in) > 0 || h.core.Next() > 0 && h.core.Next() <= now {
+		in := h.in
+		h.in = nil
+		for _, o := range h.core.Step(now, in) {
+			h.carry(o)
 		}
-		c.Out++
-		h.pool.Arrive(h.next, a.work)
+	}
+	h.stepping = false
+	if next := h.core.Next(); next > 0 {
+		h.k.Set(&h.tick, next)
 	}
 }
 
-func (h *host) happened(e poolmodel.Event) {
+func (h *host) happened(e workers.Event) {
 	switch e.Kind {
-	case poolmodel.Read:
+	case workers.Read:
 		a := h.arrivals[e.ID]
-		h.in = append(h.in, core.Arrived{Request: &core.Request{ID: name(e.ID), Class: a.class, Caller: a.caller,
+		h.tell(core.Arrived{Request: &core.Request{ID: name(e.ID), Class: a.class, Caller: a.caller,
 			Came: a.at, Due: a.at + a.wait, KB: a.kb, Rank: a.rank, To: sink{e.ID, a.caller}}})
-	case poolmodel.Done:
-		h.in = append(h.in, core.Finished{ID: name(e.ID), End: core.EndOK, Took: e.Took})
-	case poolmodel.Stopped:
-		h.in = append(h.in, core.Finished{ID: name(e.ID), End: core.EndStopped, Took: e.Took})
-	case poolmodel.Fell:
+	case workers.Done:
+		h.tell(core.Finished{ID: name(e.ID), End: core.EndOK, Took: e.Took})
+	case workers.Stopped:
+		h.tell(core.Finished{ID: name(e.ID), End: core.EndStopped, Took: e.Took})
+	case workers.Fell:
 		h.fell = true
+		h.k.Cancel(&h.tick)
 	}
 }
 
@@ -113,10 +142,10 @@
 		c, a := &h.credit[s.caller], h.arrivals[s.n]
 		c.Out--
 		if o.Load >= 0 {
-			c.Value, c.Heard = o.Load, h.now
+			c.Value, c.Heard = o.Load, h.k.Now()
 		}
-		if o.Outcome == core.Served && h.now <= a.at+classes[a.class].aim {
-			h.served[s.n] = h.now
+		if o.Outcome == core.Served && h.k.Now() <= a.at+classes[a.class].aim {
+			h.served[s.n] = h.k.Now()
 		}
 	case core.Spawn:
 		n := number(o.ID)
@@ -124,10 +153,11 @@
 	case core.Suspend:
 		h.pool.Stop(number(o.ID))
 	case core.Poll:
-		h.in = append(h.in, core.Gauged{Gauges: whinrudder.Gauges{CPU: h.pool.Busy(), Runnable: float64(h.pool.On()),
-			Memory: 0.1, Conns: callers}})
+		h.k.After(gaugeAfter, func(float64) {
+			h.tell(core.Gauged{Gauges: whinrudder.Gauges{CPU: h.pool.Busy(), Runnable: float64(h.pool.On()), Memory: 0.1, Conns: callers}})
+		})
 	case core.Line:
-		h.lines = append(h.lines, string(eventlog.AppendText(nil, time.UnixMilli(int64(h.now)), o.Word, o.Pairs)))
+		h.lines = append(h.lines, string(eventlog.AppendText(nil, time.UnixMilli(int64(h.k.Now())), o.Word, o.Pairs)))
 	}
 }
 
--- a/internal/lab/sockets.go
+++ b/internal/lab/sockets.go
@@ -18,11 +18,12 @@
 	"github.com/valyala/fastjson"
 
 	"whinrudder/internal/emu/habits"
+	"whinrudder/internal/emu/workers"
 	"whinrudder/internal/knowledge"
 	"whinrudder/internal/node"
 	"whinrudder/internal/peer"
-	"whinrudder/internal/poolmodel"
 	"whinrudder/internal/settings"
+	"whinrudder/internal/vtime"
 )
 
 // SocketRun is how one successor fared on loopback sockets.
@@ -87,14 +88,15 @@
 
 // socketRun is one successor between its stand-ins.
 type socketRun struct {
-	machine poolmodel.Params
+	machine workers.Params
 	traffic traffic
 	day     []arrival
 	report  *knowledge.Report
 
 	start  time.Time
 	mu     sync.Mutex // of all below
-	pool   *poolmodel.Pool
+	k      vtime.Kernel
+	pool   *workers.Pool
 	link   net.Conn
 	serial int
 	read   chan int // requests that the pool has read
@@ -143,7 +145,7 @@
 		s.credit[i].Value = -1
 	}
 	s.start = time.Now()
-	s.pool = poolmodel.New(s.machine, 0)
+	s.pool = workers.New(&s.k, s.machine, s.happened)
 	go s.serveLink(poolL)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
@@ -176,11 +178,10 @@
 				continue
 			}
 			c.Out++
+			s.k.Run(a.at)
 			s.pool.Arrive(next, a.work)
 		}
-		for _, e := range s.pool.Step(now) {
-			s.happened(e)
-		}
+		s.k.Run(now)
 		s.mu.Unlock()
 		for len(s.read) > 0 {
 			i := <-s.read
@@ -192,9 +193,9 @@
 }
 
 // happened tells the node, or lets a caller's request reach it. It is called under the lock.
-func (s *socketRun) happened(e poolmodel.Event) {
-	how := map[poolmodel.Kind]string{poolmodel.Done: "OK", poolmodel.Stopped: "STOPPED"}[e.Kind]
-	if e.Kind == poolmodel.Read {
+func (s *socketRun) happened(e workers.Event) {
+	how := map[workers.Kind]string{workers.Done: "OK", workers.Stopped: "STOPPED"}[e.Kind]
+	if e.Kind == workers.Read {
 		s.read <- e.ID
 	} else if how != "" && s.link != nil {
 		s.serial++
--- a/internal/lab/warmup.go
+++ b/internal/lab/warmup.go
@@ -7,8 +7,8 @@
 
 	"whinrudder"
 	"whinrudder/internal/core"
+	"whinrudder/internal/emu/workers"
 	"whinrudder/internal/knowledge"
-	"whinrudder/internal/poolmodel"
 )
 
 // Times of the warm-up experiment.
@@ -34,7 +34,7 @@
 // warmDay is what one seed gives to all variants.
 type warmDay struct {
 	seed    uint64
-	machine poolmodel.Params
+	machine workers.Params
 	traffic traffic
 	load    float64
 	streams [][]arrival // of the successors
@@ -82,8 +82,7 @@
 	}
 	h.run(donorFor)
 	var r knowledge.Report
-	h.in = append(h.in, core.Ask{To: func(k whinrudder.Knowledge, _ bool) { r = knowledge.NewReport(Classes(), k) }})
-	h.run(donorFor + 1)
+	h.tell(core.Ask{To: func(k whinrudder.Knowledge, _ bool) { r = knowledge.NewReport(Classes(), k) }})
 	r.Node, r.Life, r.Cores, r.Warm = name, donorFor, cores, true
 	return r, r.Check()
 }
@@ -171,7 +170,7 @@
 		}
 		h.run(dayFrom + takenFor)
 		if len(reports) > 0 {
-			h.in = append(h.in, core.Teach{Prior: prior})
+			h.tell(core.Teach{Prior: prior})
 		}
 		h.run(dayTo + dayAfter)
 		o.served, o.lines = append(o.served, h.served), append(o.lines, h.lines...)
