Decide how a client that helps the fleet routes and retries, and play it in the emulator

Callers of the emulator may be built on it.

Live plays tell connections that broke without a crash.

--- a/internal/emu/fleet/play.go
+++ b/internal/emu/fleet/play.go
@@ -5,6 +5,7 @@
 	"math"
 	"slices"
 
+	"whinrudder/internal/client/attempt"
 	"whinrudder/internal/core"
 	"whinrudder/internal/emu/clients"
 	"whinrudder/internal/emu/ensemble"
@@ -22,6 +23,8 @@
 	runs     int
 	tried    []int // nodes, the latest last
 	open     []*try
+	call     *attempt.Call // of a caller that is built on the client library
+	wake     vtime.Timer
 	over     bool
 	deadline vtime.Timer
 	hedge    vtime.Timer
@@ -32,6 +35,8 @@
 	outcome core.Outcome
 	load    float64
 	wait    float64
+	stay    bool // it asks not to be passed over
+	leaves  bool
 	lost    bool // the connection was reset
 	refused bool // there was no connection
 }
@@ -49,6 +54,7 @@
 	listed   []bool // what callers know of the list
 	servers  []*server
 	callers  []*habits.Caller
+	libs     []*library // by caller; nil: a plain one
 	crowd    *clients.Crowd
 	all      map[int]*try // that are not over for all sides
 	tries    int
@@ -88,6 +94,10 @@
 	}
 	for i, h := range d.Callers {
 		p.callers = append(p.callers, habits.New(h, weights, heardFor, d.Seed.Split("caller", i)))
+		p.libs = append(p.libs, nil)
+		if h.Library {
+			p.libs[i] = newLibrary(p, h, d.Seed.Split("library", i))
+		}
 	}
 	for i, t := range d.Troubles {
 		p.trouble(i, t)
@@ -193,6 +203,10 @@
 	p.score.ask(q)
 	q.deadline.Do = func(float64) { p.lose(q) }
 	p.k.Set(&q.deadline, q.At+p.day.Classes[q.Class].Deadline)
+	if l := p.libs[q.Caller]; l != nil {
+		l.begin(q)
+		return
+	}
 	c := p.callers[q.Caller]
 	copies := 1
 	if !q.write {
@@ -214,11 +228,15 @@
 // finish ends a request: tries that are open are taken back.
 func (p *play) finish(q *ask) {
 	q.over = true
+	p.k.Cancel(&q.wake)
 	p.k.Cancel(&q.deadline)
 	p.k.Cancel(&q.hedge)
 	for _, t := range slices.Clone(q.open) {
 		p.close(t)
 		p.res.Cancelled++
+		if l := p.libs[q.Caller]; l != nil {
+			l.withdraw(t)
+		}
 		if !p.reach(t, func(float64) { t.s.gone(t) }) {
 			p.k.After(max(0, t.due-p.k.Now())+p.day.slack(), func(float64) { t.s.gone(t) })
 		}
@@ -278,17 +296,22 @@
 		p.none(q)
 		return
 	}
+	deadline := p.day.Classes[q.Class].Deadline
+	c.Sent(n)
+	p.launch(q, n, min(now+deadline*c.Wait, q.At+deadline))
+}
+
+// launch sends a try to a node; its caller waits until it is due.
+func (p *play) launch(q *ask, n int, due float64) {
+	now, s := p.k.Now(), p.servers[n]
 	q.tries++
 	q.tried = append(q.tried, n)
 	p.res.Tries++
 	p.score.bin(now).Tries++
-	deadline := p.day.Classes[q.Class].Deadline
-	s := p.servers[n]
-	t := &try{n: p.tries, nth: q.tries, atNode: true, q: q, s: s, life: s.life, sent: now, due: min(now+deadline*c.Wait, q.At+deadline)}
+	t := &try{n: p.tries, nth: q.tries, atNode: true, q: q, s: s, life: s.life, sent: now, due: due}
 	p.all[t.n] = t
 	p.tries++
 	q.open = append(q.open, t)
-	c.Sent(n)
 	t.wait.Do = func(float64) { p.giveUp(t) }
 	p.k.Set(&t.wait, t.due)
 	if !p.reach(t, func(float64) { s.arrive(t) }) {
@@ -303,6 +326,10 @@
 	}
 	p.close(t)
 	p.k.After(p.day.slack(), func(float64) { t.s.late(t) }) // the node hears of it once the slack is over
+	if l := p.libs[t.q.Caller]; l != nil {
+		l.ended(t, attempt.Late, reply{load: -1})
+		return
+	}
 	p.after(t, habits.Late)
 }
 
@@ -318,7 +345,9 @@
 func (p *play) close(t *try) {
 	t.closed = true
 	p.k.Cancel(&t.wait)
-	p.callers[t.q.Caller].Closed(t.s.no)
+	if p.libs[t.q.Caller] == nil {
+		p.callers[t.q.Caller].Closed(t.s.no)
+	}
 	t.q.open = slices.DeleteFunc(t.q.open, func(o *try) bool { return o == t })
 	p.settle(t)
 }
@@ -330,12 +359,25 @@
 	}
 }
 
+// serve takes a result that came.
+func (p *play) serve(q *ask) {
+	if !q.over {
+		p.useful += q.Work.Run
+		p.score.serve(q, p.k.Now())
+		p.finish(q)
+	}
+}
+
 // heard takes what a caller hears of a try.
 func (p *play) heard(t *try, r reply) {
 	if t.closed {
 		return
 	}
 	p.close(t)
+	if l := p.libs[t.q.Caller]; l != nil {
+		l.heard(t, r)
+		return
+	}
 	now, c := p.k.Now(), p.callers[t.q.Caller]
 	if r.refused || r.lost {
 		p.res.Lost++
@@ -357,11 +399,7 @@
 	c.Heard(now, t.s.no, end, now-t.sent, r.load, r.wait)
 	switch end {
 	case habits.Served:
-		if q := t.q; !q.over {
-			p.useful += q.Work.Run
-			p.score.serve(q, now)
-			p.finish(q)
-		}
+		p.serve(t.q)
 		return
 	case habits.Refused:
 		p.res.Refused++
--- a/internal/emu/fleet/score.go
+++ b/internal/emu/fleet/score.go
@@ -72,8 +72,10 @@
 	WorstWindow, WorstAt  float64
 	WorstClass            float64
 	ByClass               []float64
-	Withheld              int     // requests that a caller sent nowhere
-	Refused, Failed, Lost int     // tries: turned away, failed, cut off
+	Withheld              int // requests that a caller sent nowhere
+	Refused, Failed, Lost int // tries: turned away, failed, cut off
+	Resets                int // tries whose connection broke without a crash of the node
+	ResetWhy              []string
 	Cancelled             int     // tries that their caller took back
 	Waste                 float64 // work of runs whose answer was of no use, over work of all runs
 	Again                 int     // writes that were run for two tries of theirs
--- a/internal/emu/fleet/server.go
+++ b/internal/emu/fleet/server.go
@@ -6,6 +6,7 @@
 	"strconv"
 
 	"whinrudder"
+	"whinrudder/internal/client/members"
 	"whinrudder/internal/core"
 	"whinrudder/internal/emu/rivals"
 	"whinrudder/internal/emu/workers"
@@ -73,6 +74,7 @@
 	nth      int // try of its request
 	messages int // so far
 	wait     vtime.Timer
+	member   *members.Member // of the client library that sent it
 	history  []mark
 }
 
@@ -87,6 +89,12 @@
 // Ender is a node that has to be told of its end: it was killed, or it has left by itself.
 type Ender interface{ End(killed bool) }
 
+// Reset is what a node that is more than its core tells of a try whose connection broke, and why.
+type Reset struct {
+	core.Reply // its sink alone counts
+	Why        string
+}
+
 // start brings a node up in its place.
 func (s *server) start(cold bool) {
 	if s.up {
@@ -317,8 +325,17 @@
 			s.p.broke("lost: %s is refused though it ran: %s", t.name(), t.tale())
 		}
 		s.forget(t)
-		r := reply{outcome: o.Outcome, load: o.Load, wait: o.Wait}
+		r := reply{outcome: o.Outcome, load: o.Load, wait: o.Wait, stay: o.Last, leaves: o.Close && s.draining}
 		s.p.reach(t, func(float64) { s.p.heard(t, r) })
+	case Reset:
+		t := o.To.(*try)
+		t.mark("reset: " + o.Why)
+		t.gone = true // nobody is left who could be answered
+		if s.p.res.Resets++; len(s.p.res.ResetWhy) < 10 {
+			s.p.res.ResetWhy = append(s.p.res.ResetWhy, fmt.Sprintf("%s (draining %v): %s", t.name(), s.draining, t.tale()))
+		}
+		s.forget(t)
+		s.p.reach(t, func(float64) { s.p.heard(t, reply{lost: true}) })
 	case core.Spawn:
 		n, _ := strconv.ParseInt(o.ID, 16, 64)
 		t := s.p.all[int(n)]
--- a/internal/emu/fleet/troubles.go
+++ b/internal/emu/fleet/troubles.go
@@ -102,9 +102,15 @@
 
 // watch lets callers hear of what changed on the list.
 func (p *play) watch() {
-	for _, c := range p.list.Step(p.k.Now()) {
+	changes := p.list.Step(p.k.Now())
+	for _, c := range changes {
 		p.listed[c.Node] = c.On
 	}
+	for _, l := range p.libs {
+		if l != nil && len(changes) > 0 {
+			l.list()
+		}
+	}
 	if at := p.list.Next(); at < p.until {
 		p.k.Set(&p.lists, at)
 	} else {
--- a/internal/emu/habits/habits.go
+++ b/internal/emu/habits/habits.go
@@ -42,6 +42,7 @@
 	Subset   int     // it knows only so many nodes; 0: all
 	Blind    bool    // it repeats writes whose outcome it does not know
 	Pause    float64 // before it tries again, drawn from 0 to so long, doubled with each try; 0: at once
+	Library  bool    // it is built on the client library, which decides all of the above but Subset
 }
 
 // End is how a try ended for its caller.
--- a/internal/emu/live/live.go
+++ b/internal/emu/live/live.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -282,27 +283,31 @@
 
 // send sends a request and hands its answer on.
 func (n *node) send(ctx context.Context, r *core.Request) {
-	a, ok := n.call(ctx, r)
+	a, err := n.call(ctx, r)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.calls[r.ID]()
 	delete(n.calls, r.ID)
-	if ok && !n.gone {
+	switch {
+	case n.gone || errors.Is(err, context.Canceled): // it died, which the fleet knows, or its caller left
+	case err != nil:
+		n.out = append(n.out, fleet.Reset{Reply: core.Reply{To: r.To}, Why: err.Error()})
+	default:
 		a.ID = r.ID
 		n.out = append(n.out, core.Reply{To: r.To, Answer: a})
 	}
 }
 
-// call returns the answer to a request; ok is false if its caller left or the connection broke.
-func (n *node) call(ctx context.Context, r *core.Request) (a core.Answer, ok bool) {
+// call returns the answer to a request.
+func (n *node) call(ctx context.Context, r *core.Request) (a core.Answer, err error) {
 	select {
 	case <-n.ready:
 	case <-ctx.Done():
-		return a, false
+		return a, ctx.Err()
 	}
 	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+n.addr+"/rpc/"+n.h.day.Classes[r.Class].Name, bytes.NewReader(nil))
 	if err != nil {
-		return a, false
+		return a, err
 	}
 	came := float64(n.h.start.UnixNano())/1e6 + r.Came
 	for k, v := range map[string]string{"Req-Id": r.ID, "Req-Time": fmt.Sprintf("%.3f", came), "Req-From": fmt.Sprint(r.Caller),
@@ -311,7 +316,7 @@
 	}
 	resp, err := n.client.Do(req)
 	if err != nil {
-		return a, false
+		return a, err
 	}
 	io.Copy(io.Discard, resp.Body)
 	resp.Body.Close()
@@ -330,7 +335,7 @@
 	default:
 		a.Outcome = core.Failed
 	}
-	return a, true
+	return a, nil
 }
 
 // config is the configuration of a process, as the platform writes it.
--- a/internal/emu/report/report.go
+++ b/internal/emu/report/report.go
@@ -225,6 +225,9 @@
 		for _, x := range r.Broken {
 			fmt.Fprintln(&b, "   ", x)
 		}
+		if r.Resets > 0 {
+			fmt.Fprintf(&b, "    %d connections broke without a crash: %s\n", r.Resets, strings.Join(r.ResetWhy, "\n      "))
+		}
 	}
 	return b.String()
 }
