--- a/cmd/whinrudder-kit/days.go
+++ b/cmd/whinrudder-kit/days.go
@@ -11,6 +11,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"whinrudder/client"
 	"whinrudder/internal/emu/collapse"
 	"whinrudder/internal/emu/experiment"
 	"whinrudder/internal/emu/fleet"
@@ -299,7 +300,7 @@
 			study.WriteSpeed(out, study.Speed(c.IntSlice("nodes"), c.Float("seconds")))
 			return nil
 		},
-	}, huntCommand(out), shrinkCommand(out), collapseCommand(out), liveCommand(out)}
+	}, huntCommand(out), shrinkCommand(out), collapseCommand(out), liveCommand(out), clientsCommand(out)}
 }
 
 func results(c *cli.Command) ([]*study.Study, error) {
@@ -587,3 +588,26 @@
 		},
 	}
 }
+
+func clientsCommand(out io.Writer) *cli.Command {
+	return &cli.Command{
+		Name: "clients", Usage: "play one day against real nodes with callers built on the client library, and count double runs", ArgsUsage: "EXPERIMENT",
+		Flags: []cli.Flag{&cli.Uint64Flag{Name: "seed", Value: 1}, &cli.StringFlag{Name: "program", Usage: "the node's program; the one beside this by default"},
+			&cli.StringFlag{Name: "protocol", Usage: "http, h2c or uwsgi", Value: "http"}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			e, err := one(c)
+			if err != nil {
+				return err
+			}
+			d, err := e.Day(0, 0, vtime.Seed(c.Uint64("seed")), nil)
+			if err != nil {
+				return err
+			}
+			return bounded(ctx, c, func(ctx context.Context, program string) error {
+				calls, err := live.Clients(ctx, program, d, client.Protocol(c.String("protocol")))
+				live.WriteCalls(out, calls)
+				return err
+			})
+		},
+	}
+}
--- a/internal/client/attempt/limits.go
+++ b/internal/client/attempt/limits.go
@@ -18,11 +18,12 @@
 // Figures of budgets.
 const (
 	budgetMost   = 100.0
+	budgetFirst  = 10.0 // of a new client, which has done nothing for it yet
 	budgetWindow = 10e3 // tokens that are not used fade over so long
 )
 
 // NewBudget returns the usual budget: a tenth, and one in five seconds.
-func NewBudget() *Budget { return &Budget{Ratio: 0.08, Trickle: 0.2} }
+func NewBudget() *Budget { return &Budget{Ratio: 0.08, Trickle: 0.2, tokens: budgetFirst} }
 
 func (b *Budget) age(now float64) {
 	dt := math.Max(0, now-b.at)
--- a/internal/client/route/route.go
+++ b/internal/client/route/route.go
@@ -28,6 +28,7 @@
 	failWindow = 20.0
 	failShare  = 0.6 // of the latest answers that are failures
 	panicShare = 0.5 // of the fleet that must be usable, or health is not looked at
+	probeShare = 0.1 // of the requests goes to nodes of which nothing is known, while there are any
 	lookAtAll  = 64  // with more nodes two drawn ones are compared (Mitzenmacher, 2001)
 )
 
@@ -130,17 +131,25 @@
 	case w.Keyed:
 		return r.byKey(now, may, w.Key), 0
 	}
-	a := may[0]
+	n := float64(len(may))
+	first := int(w.Draws[0] * n)
+	a := may[first]
+	if w.Draws[1] < probeShare {
+		for i := range may { // one of which nothing is known yet, if there is one
+			if m := may[(first+i)%len(may)]; !r.stats[m.ID].seen {
+				return m, 0
+			}
+		}
+	}
 	if len(may) <= lookAtAll {
-		for _, m := range may[1:] {
+		for _, m := range may {
 			if r.cost(now, m) < r.cost(now, a) {
 				a = m
 			}
 		}
 		return a, 0
 	}
-	n := float64(len(may))
-	a, b := may[int(w.Draws[0]*n)], may[int(w.Draws[1]*n)]
+	b := may[int((w.Draws[1]-probeShare)/(1-probeShare)*n)]
 	if r.cost(now, b) < r.cost(now, a) {
 		a = b
 	}
--- a/internal/emu/fleet/day.go
+++ b/internal/emu/fleet/day.go
@@ -163,8 +163,8 @@
 	return r.At(0.5)
 }
 
-// clients returns those of the day.
-func (d Day) clients() clients.Params {
+// Clients returns those of the day.
+func (d Day) Clients() clients.Params {
 	figures := d.Seed.Split("classes", 0).Rand()
 	p := clients.Params{Ms: d.Ms, Classes: d.Classes, Spread: d.Spread, Callers: len(d.Callers), Subjects: d.Subjects, Repeats: d.Repeats}
 	mean := 0.0
--- a/internal/emu/fleet/play.go
+++ b/internal/emu/fleet/play.go
@@ -11,6 +11,7 @@
 	"whinrudder/internal/emu/ensemble"
 	"whinrudder/internal/emu/habits"
 	"whinrudder/internal/emu/network"
+	"whinrudder/internal/emu/workers"
 	"whinrudder/internal/vtime"
 )
 
@@ -58,6 +59,8 @@
 	crowd    *clients.Crowd
 	all      map[int]*try // that are not over for all sides
 	tries    int
+	outside  Outside
+	others   int // runs from outside, so far
 
 	res     Result
 	score   *score
@@ -70,12 +73,16 @@
 
 // Play plays a day in virtual time.
 func Play(d Day, make Make) Result {
-	return PlayBy(d, make, func(k *vtime.Kernel, to float64, _ func()) { k.Run(to) })
+	return PlayBy(d, make, func(k *vtime.Kernel, to float64, _ func()) { k.Run(to) }, nil)
 }
 
+// Outside tells the work of a run that none of the day's callers asked for; it is called when the run starts. Nodes that are more
+// than their core may have other callers.
+type Outside func(run core.Spawn) workers.Work
+
 // PlayBy plays a day by whatever time Drive goes by.
-func PlayBy(d Day, make_ Make, drive Drive) Result {
-	p := &play{day: d, make: make_, all: map[int]*try{}, messages: d.Seed.Split("network", 0),
+func PlayBy(d Day, make_ Make, drive Drive, outside Outside) Result {
+	p := &play{day: d, make: make_, outside: outside, all: map[int]*try{}, messages: d.Seed.Split("network", 0),
 		net: network.Network{Delay: d.Delay, Share: d.Loss}, listed: slices.Repeat([]bool{true}, d.Nodes),
 		list: ensemble.New(ensemble.Params{Session: d.Session, Lag: d.ListLag}, d.Nodes, true)}
 	longest := 0.0
@@ -129,7 +136,7 @@
 
 // arrivals lets the requests of the clients come, one after the other.
 func (p *play) arrivals() {
-	p.crowd = clients.New(p.day.clients(), p.day.Seed)
+	p.crowd = clients.New(p.day.Clients(), p.day.Seed)
 	var next vtime.Timer
 	var q clients.Request
 	draw := func() {
--- a/internal/emu/fleet/server.go
+++ b/internal/emu/fleet/server.go
@@ -48,8 +48,9 @@
 	in       []core.Input
 	stepping bool
 	tick     vtime.Timer
-	tries    map[int]*try // in hand, by number
-	runs     map[int]*try // whose runs are not over
+	tries    map[int]*try   // in hand, by number
+	runs     map[int]*try   // whose runs are not over
+	others   map[int]string // runs from outside, by the numbers that they have in the pool
 }
 
 // try is one request of a caller to a node.
@@ -113,6 +114,7 @@
 		params.ColdFrom = 1
 	}
 	s.node, s.in, s.tries, s.runs, s.memory, s.most = node, nil, map[int]*try{}, map[int]*try{}, 0, set.Memory
+	s.others = map[int]string{}
 	s.up, s.draining, s.stalled, s.notice = true, false, false, math.Inf(1)
 	s.pool = workers.New(&s.p.k, params, func(e workers.Event) {
 		if s.life == life {
@@ -295,6 +297,11 @@
 }
 
 func (s *server) ended(e workers.Event, end core.End) {
+	if id, ok := s.others[e.ID]; ok {
+		delete(s.others, e.ID)
+		s.tell(core.Finished{ID: id, End: end, Took: e.Took})
+		return
+	}
 	t := s.runs[e.ID]
 	delete(s.runs, e.ID)
 	s.memory -= t.q.KB * (runFactor - 1)
@@ -340,6 +347,11 @@
 		n, _ := strconv.ParseInt(o.ID, 16, 64)
 		t := s.p.all[int(n)]
 		switch {
+		case t == nil && s.p.outside != nil:
+			s.p.others--
+			s.others[s.p.others] = o.ID
+			s.pool.Start(s.p.others, s.p.outside(o))
+			return
 		case t == nil:
 			s.p.broke("duplicate: %s is run, and it was over", o.ID)
 			return
@@ -361,6 +373,12 @@
 		s.pool.Start(t.n, t.q.Work)
 		s.take(t.q.KB * (runFactor - 1))
 	case core.Suspend:
+		for n, id := range s.others {
+			if id == o.ID {
+				s.pool.Stop(n)
+				return
+			}
+		}
 		n, _ := strconv.ParseInt(o.ID, 16, 64)
 		s.pool.Stop(int(n))
 	case core.Poll:
--- /dev/null
+++ b/internal/emu/live/clients.go
@@ -0,0 +1,204 @@
+package live
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"whinrudder/client"
+	"whinrudder/internal/core"
+	"whinrudder/internal/emu/clients"
+	"whinrudder/internal/emu/fleet"
+	"whinrudder/internal/emu/workers"
+	"whinrudder/internal/vtime"
+)
+
+// Calls is what became of the calls of real clients against real nodes.
+type Calls struct {
+	Calls, Served, InTime int
+	Worth, Got            float64 // asked for, and got by the aim
+	Tries                 int
+	Reasons               map[string]int // of those that brought nothing
+	Runs                  int            // of writes, by the worker pools' book
+	Doubles               []string       // writes that ran more than once
+	Lied                  []string       // writes that were told not to have run, and did
+	Broken                []string       // rules that nodes broke
+}
+
+// book is what the worker pools run.
+type book struct {
+	mu    sync.Mutex
+	works map[string]workers.Work
+	runs  map[string]int
+}
+
+// Watch implements client.Source: nodes come to the list and leave it so late as the day says.
+func (h *Host) Watch(ctx context.Context, list func(made time.Time, nodes []client.Node)) {
+	tick := time.NewTicker(100 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		made := time.Now().Add(-time.Duration(h.day.ListLag * float64(time.Millisecond)))
+		var nodes []client.Node
+		h.mu.Lock()
+		for _, n := range h.nodes {
+			n.mu.Lock()
+			if !n.came.IsZero() && (n.came.Before(made) || n.came.Before(h.start)) && (n.left.IsZero() || n.left.After(made)) {
+				nodes = append(nodes, client.Node{Name: n.name, Addr: n.front})
+			}
+			n.mu.Unlock()
+		}
+		h.mu.Unlock()
+		list(made, nodes)
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// Clients plays a day against processes of a program, whose callers are clients of the library over a protocol: as many as
+// the day has callers. The day's own callers stay away. Its troubles of nodes and pools are played, those of callers, the network and
+// the ensemble are not.
+func Clients(ctx context.Context, program string, d fleet.Day, protocol client.Protocol) (c Calls, err error) {
+	if d.Nodes > maxNodes {
+		return c, fmt.Errorf("live: %d nodes, %d at most", d.Nodes, maxNodes)
+	}
+	if rate := d.Clients().Rate * 1000; rate > maxRate {
+		return c, fmt.Errorf("live: %.0f requests a second, %.0f at most", rate, maxRate)
+	}
+	c = Calls{Reasons: map[string]int{}}
+	dir, err := os.MkdirTemp("", "live")
+	if err != nil {
+		return c, err
+	}
+	defer os.RemoveAll(dir)
+	h := &Host{Program: program, day: d, dir: dir, begun: make(chan struct{})}
+	if protocol != client.HTTP {
+		h.front = string(protocol)
+	}
+	defer h.stop()
+	b := &book{works: map[string]workers.Work{}, runs: map[string]int{}}
+	quiet := d
+	quiet.Only = []int{}
+	var fault error
+	var load sync.WaitGroup
+	r := fleet.PlayBy(quiet, h.make, func(k *vtime.Kernel, to float64, poke func()) {
+		load.Go(func() { b.load(ctx, h, protocol, &c) })
+		fault = h.drive(ctx, k, to, poke)
+	}, b.run)
+	load.Wait()
+	c.Broken = r.Broken
+	for no, n := range b.runs {
+		c.Runs += n
+		if n > 1 {
+			c.Doubles = append(c.Doubles, fmt.Sprintf("request %s ran %d times", no, n))
+		}
+	}
+	return c, fault
+}
+
+// run notes a run of the worker pools and tells its work. Bodies hold the number of a request, and a mark of writes.
+func (b *book) run(s core.Spawn) workers.Work {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	body := string(s.Body)
+	if len(body) > 0 && body[0] == 'w' {
+		b.runs[body]++
+	}
+	w := b.works[body]
+	w.Run += w.Read // what reading takes is part of the run here
+	return w
+}
+
+// load makes the calls of the day.
+func (b *book) load(ctx context.Context, h *Host, protocol client.Protocol, c *Calls) {
+	select {
+	case <-h.begun:
+	case <-ctx.Done():
+		return
+	}
+	d := h.day
+	var classes []client.Class
+	for _, k := range d.Classes {
+		classes = append(classes, client.Class{Name: k.Name, Write: k.Write, NoHedge: true})
+	}
+	var callers []*client.Client
+	for i := range d.Callers {
+		l, err := client.New(client.Options{Source: h, Protocol: protocol, Classes: classes, Number: i, Hooks: client.Hooks{
+			Try: func(string, string, bool, bool) {
+				b.mu.Lock()
+				c.Tries++
+				b.mu.Unlock()
+			}}})
+		if err != nil {
+			return
+		}
+		defer l.Close()
+		callers = append(callers, l)
+	}
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	crowd := clients.New(d.Clients(), d.Seed)
+	for q, ok := crowd.Next(); ok; q, ok = crowd.Next() {
+		at := h.start.Add(time.Duration(q.At * float64(time.Millisecond)))
+		select {
+		case <-time.After(time.Until(at)):
+		case <-ctx.Done():
+			return
+		}
+		wait.Go(func() { b.call(ctx, callers[q.Caller], d.Classes[q.Class], q, at, c) })
+	}
+}
+
+func (b *book) call(ctx context.Context, l *client.Client, k fleet.Class, q clients.Request, at time.Time, c *Calls) {
+	body := "r" + strconv.Itoa(q.No)
+	if k.Write {
+		body = "w" + strconv.Itoa(q.No)
+	}
+	b.mu.Lock()
+	b.works[body] = q.Work
+	b.mu.Unlock()
+	ctx, cancel := context.WithDeadline(ctx, at.Add(time.Duration(k.Deadline*float64(time.Millisecond))))
+	defer cancel()
+	_, err := l.Do(ctx, client.Request{Class: k.Name, Subject: strconv.Itoa(q.Subject), Body: []byte(body), KB: q.KB, Rank: q.Rank})
+	took := float64(time.Since(at)) / float64(time.Millisecond)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c.Calls++
+	c.Worth += k.Worth
+	var fault *client.Error
+	switch {
+	case err == nil:
+		c.Served++
+		if took <= k.Aim {
+			c.InTime++
+			c.Got += k.Worth
+		} else {
+			c.Got += k.Worth * k.Late
+		}
+	case errors.As(err, &fault):
+		c.Reasons[fault.Reason.String()]++
+		if k.Write && !fault.MayHaveRun() && b.runs[body] > 0 {
+			c.Lied = append(c.Lied, fmt.Sprintf("%s ran, and %v", body, err))
+		}
+	default:
+		c.Reasons["other"]++
+	}
+}
+
+// WriteCalls writes what became of calls as people read it.
+func WriteCalls(w io.Writer, c Calls) {
+	fmt.Fprintf(w, "%d calls, %d served, %d in time, worth in time %.3f, %.3f tries a call, none: %v\n", c.Calls, c.Served, c.InTime,
+		c.Got/max(1e-9, c.Worth), float64(c.Tries)/float64(max(1, c.Calls)), c.Reasons)
+	fmt.Fprintf(w, "writes: %d runs by the worker pools' book, %d ran twice, %d ran though they were told not to have; rules broken by nodes: %d\n", c.Runs,
+		len(c.Doubles), len(c.Lied), len(c.Broken))
+	for _, x := range append(append(c.Doubles, c.Lied...), c.Broken...) {
+		fmt.Fprintln(w, "   ", x)
+	}
+}
--- a/internal/emu/live/link.go
+++ b/internal/emu/live/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/base64"
 	"fmt"
 	"net"
 
@@ -47,7 +48,8 @@
 		}
 		fmt.Fprintf(c, `{"msg":"bound","how":%q,"duration":1}`+"\n", how)
 	case "spawn":
-		n.out = append(n.out, core.Spawn{ID: call})
+		body, _ := base64.StdEncoding.DecodeString(string(v.GetStringBytes("blob")))
+		n.out = append(n.out, core.Spawn{ID: call, Body: body})
 	case "suspend":
 		n.out = append(n.out, core.Suspend{ID: call})
 	case "poll":
--- a/internal/emu/live/live.go
+++ b/internal/emu/live/live.go
@@ -31,6 +31,7 @@
 // Limits of a play on one machine, and what is allowed beyond the rules' grace for an answer that crosses sockets.
 const (
 	maxNodes = 16
+	maxRate  = 1000.0 // requests a second
 
 	slack    = 250.0
 	pace     = time.Millisecond
@@ -41,6 +42,7 @@
 // Host starts the processes of a play.
 type Host struct {
 	Program string
+	front   string // beside HTTP/1.1, that is turned on by the operator's file; empty: none
 	day     fleet.Day
 	dir     string
 	start   time.Time // of the day's time
@@ -71,7 +73,7 @@
 	h := &Host{Program: program, day: d, dir: dir, begun: make(chan struct{})}
 	defer h.stop()
 	var fault error
-	r = fleet.PlayBy(d, h.make, func(k *vtime.Kernel, to float64, poke func()) { fault = h.drive(ctx, k, to, poke) })
+	r = fleet.PlayBy(d, h.make, func(k *vtime.Kernel, to float64, poke func()) { fault = h.drive(ctx, k, to, poke) }, nil)
 	return r, fault
 }
 
@@ -139,7 +141,7 @@
 // launch starts one process.
 func (h *Host) launch(s whinrudder.Settings, seed uint64) (*node, error) {
 	h.count++
-	n := &node{h: h, cold: s.Cold, ready: make(chan struct{}), exited: make(chan struct{}), calls: map[string]context.CancelFunc{}}
+	n := &node{h: h, name: fmt.Sprint("n", h.count), cold: s.Cold, ready: make(chan struct{}), exited: make(chan struct{}), calls: map[string]context.CancelFunc{}}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	var err error
 	if n.addr, err = lab.FreeAddr(); err != nil {
@@ -157,7 +159,17 @@
 		return nil, err
 	}
 	n.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}}
-	n.process = exec.Command(h.Program, "serve", "--config", path)
+	args := []string{"serve", "--config", path}
+	if n.front = n.addr; h.front != "" {
+		if n.front, err = lab.FreeAddr(); err != nil {
+			return nil, err
+		}
+		args = append(args, "--operator", path+".operator")
+		if err := os.WriteFile(path+".operator", fmt.Appendf(nil, `{%q:{"listen":%q}}`, h.front, n.front), 0o600); err != nil {
+			return nil, err
+		}
+	}
+	n.process = exec.Command(h.Program, args...)
 	if err := n.process.Start(); err != nil {
 		n.pool.Close()
 		return nil, err
@@ -168,12 +180,18 @@
 		n.pool.Close()
 		n.mu.Lock()
 		n.gone = true
+		if n.left.IsZero() {
+			n.left = time.Now()
+		}
 		n.out = append(n.out, core.Over{})
 		n.mu.Unlock()
 		close(n.exited)
 	}()
 	go func() {
 		if lab.WaitHealthy(n.ctx, n.addr) == nil {
+			n.mu.Lock()
+			n.came = time.Now()
+			n.mu.Unlock()
 			close(n.ready)
 		}
 	}()
@@ -184,7 +202,9 @@
 type node struct {
 	h       *Host
 	cold    bool
+	name    string
 	addr    string
+	front   string // address that clients are told
 	pool    net.Listener
 	process *exec.Cmd
 	client  *http.Client
@@ -199,6 +219,8 @@
 	serial  int
 	cookies []string
 	gone    bool
+	came    time.Time                     // it served from then on
+	left    time.Time                     // it died, or was told to leave; zero: neither
 	calls   map[string]context.CancelFunc // requests under way
 }
 
@@ -257,6 +279,7 @@
 				n.cookies = n.cookies[1:]
 			}
 		case core.Leave:
+			n.left = time.Now()
 			n.process.Process.Signal(syscall.SIGTERM)
 		}
 	}
