--- a/client/client.go
+++ b/client/client.go
@@ -208,6 +208,9 @@
 		return nil, errors.New("client: no classes")
 	}
 	limits := pools.Usual(streams)
+	if o.Protocol == UWSGI {
+		limits = pools.UsualOnce()
+	}
 	if o.Limits != nil {
 		limits = *o.Limits
 	}
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -53,7 +53,7 @@
 // cut breaks the connection with the request in hand.
 func cut(http.ResponseWriter) { panic(http.ErrAbortHandler) }
 
-func start(t *testing.T, p Protocol, how func(s *standIn) func(n int64, r *http.Request, w http.ResponseWriter)) *standIn {
+func start(t testing.TB, p Protocol, how func(s *standIn) func(n int64, r *http.Request, w http.ResponseWriter)) *standIn {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/cmd/whinrudder-kit/main.go
+++ b/cmd/whinrudder-kit/main.go
@@ -45,6 +45,7 @@
 					return err
 				}},
 			labCommand(out),
+			proxyCommand(out),
 		}}
 }
 
--- a/cmd/whinrudder/kit.go
+++ b/cmd/whinrudder/kit.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -72,14 +71,14 @@
 	return l.Buffer.Write(b)
 }
 
-// labCommand hands its command line to the kit, in the place of this process.
-func labCommand(io.Writer) *cli.Command {
-	return &cli.Command{Name: "lab", Usage: "play experiments in virtual time", SkipFlagParsing: true,
+// kitCommand hands its command line to the kit, in the place of this process.
+func kitCommand(name, usage string) *cli.Command {
+	return &cli.Command{Name: name, Usage: usage, SkipFlagParsing: true,
 		Action: func(_ context.Context, c *cli.Command) error {
 			kit, err := kitPath()
 			if err != nil {
 				return err
 			}
-			return syscall.Exec(kit, append([]string{kitName, "lab"}, c.Args().Slice()...), os.Environ())
+			return syscall.Exec(kit, append([]string{kitName, name}, c.Args().Slice()...), os.Environ())
 		}}
 }
--- a/cmd/whinrudder/main.go
+++ b/cmd/whinrudder/main.go
@@ -73,7 +73,7 @@
 				Action: func(_ context.Context, c *cli.Command) error {
 					return ask(out, c, "check", map[bool]string{true: "real"}[c.Bool("real")])
 				}},
-			labCommand(out),
+			kitCommand("lab", "play experiments in virtual time"), kitCommand("proxy", "a client proxy that helps the fleet"),
 			knowledgeCommand(out),
 			keysCommand(out),
 			keptCommand(out),
--- a/internal/client/pools/pools.go
+++ b/internal/client/pools/pools.go
@@ -18,6 +18,13 @@
 	Burst    float64 // at once
 }
 
+// UsualOnce are the usual limits where each request has a connection of its own.
+func UsualOnce() Limits {
+	l := Usual(1)
+	l.Connects, l.Burst = 2000, 512
+	return l
+}
+
 // Usual are the usual limits.
 func Usual(streams int) Limits {
 	return Limits{Node: 64, All: 512, Streams: streams, Idle: 20e3, Age: 600e3, Connects: 50, Burst: 40}
--- a/internal/client/route/route.go
+++ b/internal/client/route/route.go
@@ -51,8 +51,9 @@
 
 // Router chooses.
 type Router struct {
-	stats map[int]*Stat // by ID of the member
-	epoch float64
+	stats       map[int]*Stat // by ID of the member
+	epoch       float64
+	ejectedTill float64 // no node is ejected from then on
 }
 
 // New returns a router.
@@ -102,6 +103,9 @@
 // Pick returns the node for a request among those in use. If there is none, until is when there may be one again; infinity: it
 // can't be told.
 func (r *Router) Pick(now float64, use []*members.Member, w Want) (m *members.Member, until float64) {
+	if m = r.draw(now, use, w); m != nil {
+		return m, 0
+	}
 	until = math.Inf(1)
 	var may []*members.Member
 	healthy := 0
@@ -132,7 +136,7 @@
 		return r.byKey(now, may, w.Key), 0
 	}
 	n := float64(len(may))
-	first := int(w.Draws[0] * n)
+	first := min(int(w.Draws[0]*n), len(may)-1)
 	a := may[first]
 	if w.Draws[1] < probeShare {
 		for i := range may { // one of which nothing is known yet, if there is one
@@ -149,13 +153,51 @@
 		}
 		return a, 0
 	}
-	b := may[int((w.Draws[1]-probeShare)/(1-probeShare)*n)]
+	x := w.Draws[1]
+	if x >= probeShare {
+		x = (x - probeShare) / (1 - probeShare)
+	} else {
+		x /= probeShare
+	}
+	b := may[min(int(x*n), len(may)-1)]
 	if r.cost(now, b) < r.cost(now, a) {
 		a = b
 	}
 	return a, 0
 }
 
+// fastDraws is how many nodes of a large fleet are drawn before all are looked at.
+const fastDraws = 16
+
+// draw returns the cheaper of two drawn nodes that may take a request, without a look at all of a large fleet; nil: it found no two.
+func (r *Router) draw(now float64, use []*members.Member, w Want) (a *members.Member) {
+	if len(use) <= lookAtAll || w.Keyed || r.anyEjected(now) {
+		return nil
+	}
+	x := math.Float64bits(w.Draws[0]) ^ math.Float64bits(w.Draws[1])<<1
+	for range fastDraws {
+		// splitmix64 (Steele, Lea and Flood, 2014) makes more draws of those that were handed in
+		x += 0x9e3779b97f4a7c15
+		z := (x ^ x>>30) * 0xbf58476d1ce4e5b9
+		z = (z ^ z>>27) * 0x94d049bb133111eb
+		m := use[(z^z>>31)%uint64(len(use))]
+		if m == a || slices.Contains(w.Exclude, m.Name) || r.Stat(m.ID, now).free(now, w.Draws[2], false) > now {
+			continue
+		}
+		if a != nil {
+			if r.cost(now, m) < r.cost(now, a) {
+				return m
+			}
+			return a
+		}
+		a = m
+	}
+	return nil
+}
+
+// anyEjected tells whether a node is kept from requests.
+func (r *Router) anyEjected(now float64) bool { return now < r.ejectedTill }
+
 // byKey returns the first node by rendezvous hashing whose load is within bounds.
 func (r *Router) byKey(now float64, may []*members.Member, key uint64) *members.Member {
 	sum := 0
@@ -305,6 +347,7 @@
 		return
 	}
 	s.ejected = now + math.Min(ejectMost, math.Ldexp(ejectFor, min(s.times, 10)))
+	r.ejectedTill = math.Max(r.ejectedTill, s.ejected)
 	s.times++
 	s.fails, s.share, s.began = 0, s.share/2, s.ejected
 }
--- a/internal/client/route/route_test.go
+++ b/internal/client/route/route_test.go
@@ -187,7 +187,7 @@
 // Whatever happens, what is out is counted, a pick is in use and not excluded, and there is one whenever nothing forbids it.
 func TestPicks(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		n := rapid.IntRange(1, 8).Draw(t, "nodes")
+		n := rapid.OneOf(rapid.IntRange(1, 8), rapid.IntRange(lookAtAll-1, lookAtAll+9)).Draw(t, "nodes")
 		use, r := fleet(n), New()
 		out := make([]int, n)
 		now := 0.0
@@ -201,7 +201,7 @@
 					Refused: rapid.Bool().Draw(t, "refused"), NoAnswer: rapid.Bool().Draw(t, "no answer")}, n)
 			}
 			w := Want{Keyed: rapid.Bool().Draw(t, "keyed"), Key: rapid.Uint64().Draw(t, "key"), Exclude: []string{use[i].Name}, Last: rapid.Bool().Draw(t, "last"),
-				Draws: [3]float64{rapid.Float64Range(0, 0.999).Draw(t, "a"), rapid.Float64Range(0, 0.999).Draw(t, "b"), rapid.Float64Range(0, 0.999).Draw(t, "c")}}
+				Draws: [3]float64{rapid.Float64Range(0, 1).Draw(t, "a"), rapid.Float64Range(0, 1).Draw(t, "b"), rapid.Float64Range(0, 0.999).Draw(t, "c")}}
 			m, until := r.Pick(now, use, w)
 			if m == nil && until <= now || m != nil && m.ID == i && !w.Last {
 				t.Fatalf("%v until %v at %v", m, until, now)
--- a/internal/emu/experiment/measures.go
+++ b/internal/emu/experiment/measures.go
@@ -26,6 +26,7 @@
 	{"repeats", "a request", true, func(r *fleet.Result) float64 { return float64(r.Repeats) / float64(max(1, r.Requests)) }},
 	{"refused", "a request", true, func(r *fleet.Result) float64 { return float64(r.Refused) / float64(max(1, r.Requests)) }},
 	{"again", "writes", true, func(r *fleet.Result) float64 { return float64(r.Again) }},
+	{"peak_runs", "a node", true, func(r *fleet.Result) float64 { return r.PeakRuns() }},
 	{"fell", "nodes", true, func(r *fleet.Result) float64 { return float64(r.Fell) }},
 	{"broken", "rules", true, func(r *fleet.Result) float64 { return float64(len(r.Broken)) }},
 }
--- a/internal/emu/fleet/fleet_test.go
+++ b/internal/emu/fleet/fleet_test.go
@@ -198,3 +198,22 @@
 		}
 	}
 }
+
+// A node that takes on more than its memory holds is gone, and the module sees to it that it does not.
+func TestMemory(t *testing.T) {
+	d := Usual(1)
+	d.Nodes, d.Ms, d.Load, d.FallAt = 2, 20000, 3, 0
+	none := func(whinrudder.Settings, uint64) (rivals.Node, error) {
+		return rivals.NewServer(rivals.None{}, rivals.FIFO{}, 1e6, 2000), nil
+	}
+	if r := Play(d, none); r.Fell > 0 || r.PeakRuns() < 13 {
+		t.Errorf("%d fell with room for 16 runs a core, peak %.0f", r.Fell, r.PeakRuns())
+	}
+	d.Runs = 2
+	if r := Play(d, none); r.Fell == 0 || r.PeakRuns() > 12 {
+		t.Errorf("%d fell with room for 12 runs, peak %.1f", r.Fell, r.PeakRuns())
+	}
+	if r := Play(d, Module); r.Fell > 0 {
+		t.Errorf("the module lets %d fall", r.Fell)
+	}
+}
--- a/internal/emu/fleet/score.go
+++ b/internal/emu/fleet/score.go
@@ -175,6 +175,21 @@
 	return g / max(1e-9, a), a > 0
 }
 
+// peakOver is how many bins the mean of PeakRuns is over: two seconds.
+const peakOver = 4
+
+// PeakRuns returns the most runs that a node of those that were up had in the mean, over two seconds.
+func (r *Result) PeakRuns() (most float64) {
+	for i := peakOver; i <= len(r.Bins); i++ {
+		runs, up := 0, 0
+		for _, b := range r.Bins[i-peakOver : i] {
+			runs, up = runs+b.Running, up+b.Up
+		}
+		most = max(most, float64(runs)/float64(max(1, up)))
+	}
+	return most
+}
+
 // BinMs is the length of a Bin.
 func BinMs() float64 { return binFor }
 
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -39,6 +39,9 @@
 	}
 	if len(n.op.Ensemble) > 0 {
 		data := fmt.Appendf(nil, `{"name":%q,"listen":%q,"uwsgi":%q}`, n.cfg.Name, n.cfg.Listen, n.op.UWSGI)
+		if n.op.H2C != "" {
+			data = fmt.Appendf(data[:len(data)-1], `,"h2c":%q}`, n.op.H2C)
+		}
 		if peerAddr != "" { // one more key, which readers of the older form pass over
 			data = fmt.Appendf(data[:len(data)-1], `,"peer":%q}`, peerAddr)
 		}
--- a/internal/rehearse/ensemble.go
+++ b/internal/rehearse/ensemble.go
@@ -9,6 +9,7 @@
 	"net"
 	"path"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -106,11 +107,13 @@
 	case "add":
 		at, data, _ := cut(at)
 		e.nodes[path.Dir(at)], e.nodes[at] = znode{}, znode{owner: 7, data: data}
+		e.tell(path.Dir(at)+children, childrenChanged)
 	case "take":
 		e.nodes[path.Dir(at)], e.nodes[at] = znode{}, znode{owner: 7}
 	case "remove":
 		delete(e.nodes, at)
-		e.tell(at)
+		e.tell(at, nodeDeleted)
+		e.tell(path.Dir(at)+children, childrenChanged)
 	case "expire":
 		clear(e.live)
 		for p, n := range e.nodes {
@@ -143,15 +146,22 @@
 	}
 }
 
-// tell sends the event of a removed znode to those that watch it.
-func (e *ensemble) tell(at string) {
+// Events of watches, and the mark of a watch of what is under a znode.
+const (
+	nodeDeleted     = 2
+	childrenChanged = 4
+	children        = "/*"
+)
+
+// tell sends an event to those that watch a znode, or what is under it.
+func (e *ensemble) tell(at string, what uint32) {
 	for c, k := range e.conns {
 		if k.watches[at] {
 			delete(k.watches, at)
 			b := header(-1, 0)
-			b = binary.BigEndian.AppendUint32(b, 2) // NodeDeleted
+			b = binary.BigEndian.AppendUint32(b, what)
 			b = binary.BigEndian.AppendUint32(b, 3) // connected
-			send(c, str(b, at))
+			send(c, str(b, strings.TrimSuffix(at, children)))
 		}
 	}
 }
@@ -226,13 +236,15 @@
 		}
 		n.data = data
 		e.nodes[at] = n
+		e.tell(path.Dir(at)+children, childrenChanged)
 		return str(header(xid, 0), at)
 	case 2: // delete
 		if !there {
 			return header(xid, noNode)
 		}
 		delete(e.nodes, at)
-		e.tell(at)
+		e.tell(at, nodeDeleted)
+		e.tell(path.Dir(at)+children, childrenChanged)
 		return header(xid, 0)
 	case 3: // exists, with a watch or without
 		if len(rest) > 0 && rest[0] == 1 {
@@ -248,6 +260,9 @@
 		if !there {
 			return header(xid, noNode)
 		}
+		if op == 12 && len(rest) > 0 && rest[0] == 1 {
+			k.watches[at+children] = true
+		}
 		out := header(xid, 0)
 		if op == 4 {
 			out = str(out, n.data)
@@ -326,3 +341,17 @@
 	defer e.mu.Unlock()
 	e.breakAll()
 }
+
+// Ensemble is the stand-in, for tests of other packages: its address, the steps of exchanges ("add /path data", "remove /path",
+// "down", "up"), and its end.
+func Ensemble() (addr string, step func(word, at string) error, stop func(), err error) {
+	e, err := newEnsemble()
+	if err != nil {
+		return "", nil, nil, err
+	}
+	step = func(word, at string) error {
+		_, err := e.step(word+" "+at, word, at)
+		return err
+	}
+	return e.l.Addr().String(), step, e.close, nil
+}
