--- a/internal/client/route/route.go
+++ b/internal/client/route/route.go
@@ -242,17 +242,16 @@
 	return s.heard + creditFor
 }
 
-// cost is what a request there is expected to take, in milliseconds, times what else makes it dear.
+// cost is by what is in hand, how long an answer takes, and what else makes a request there dear. The credit bounds what is in hand and
+// is no part of it: weighing by the room that is left sends all clients to the same nodes.
 func (r *Router) cost(now float64, m *members.Member) float64 {
 	s := r.stats[m.ID]
 	latency := usual
 	if s.latency > 0 {
 		latency = s.mean(now)
 	}
-	cost := latency * float64(s.Out+1)
-	if s.credit >= 0 && now-s.heard < creditFor {
-		cost /= math.Max(0.25, s.credit-float64(s.Out)) // room that it told of
-	}
+	// The square root: most of what is in hand waits on this client's own share of a node, and latencies are noise beside it.
+	cost := math.Sqrt(latency) * float64(s.Out+1)
 	cost /= s.warmth(now)
 	return cost * (1 + 4*s.share)
 }
