Keep the exchanges' HTTP/2 caller from writing into an open block of fields

The caller's reading side acknowledged the node's SETTINGS between HEADERS and CONTINUATION (internal/rehearse/h2.go, case SettingsFrame), which is a fault by RFC 9113, section 6.10; the node was right. Its answers to the node wait for the end of the block now.

--- a/internal/rehearse/h2.go
+++ b/internal/rehearse/h2.go
@@ -29,6 +29,8 @@
 type h2Caller struct {
 	c    net.Conn
 	w    sync.Mutex // of the writing side
+	part bool       // a block of fields is open: no other frame may come in between
+	owed []func()   // answers to the node that wait for its end
 	fr   *http2.Framer
 	enc  *hpack.Encoder
 	buf  bytes.Buffer
@@ -105,15 +107,15 @@
 				}
 			}
 			if n := uint32(len(f.Data())); n > 0 && !mute {
-				h.write(func() { h.fr.WriteWindowUpdate(0, n) })
+				h.reply(func() { h.fr.WriteWindowUpdate(0, n) })
 			}
 		case *http2.SettingsFrame:
 			if !f.IsAck() && !mute {
-				h.write(func() { h.fr.WriteSettingsAck() })
+				h.reply(func() { h.fr.WriteSettingsAck() })
 			}
 		case *http2.PingFrame:
 			if !f.IsAck() && !mute {
-				h.write(func() { h.fr.WritePing(true, f.Data) })
+				h.reply(func() { h.fr.WritePing(true, f.Data) })
 			}
 		case *http2.RSTStreamFrame:
 			h.others <- fmt.Sprintf("rst %d %d", f.StreamID, f.ErrCode)
@@ -134,6 +136,28 @@
 	do()
 }
 
+// reply answers the node, once no block of fields is open.
+func (h *h2Caller) reply(do func()) {
+	h.write(func() {
+		if h.part {
+			h.owed = append(h.owed, do)
+			return
+		}
+		do()
+	})
+}
+
+// block takes it that a block of fields has begun or has ended, on the writing side.
+func (h *h2Caller) block(open bool) {
+	if h.part = open; open {
+		return
+	}
+	for _, do := range h.owed {
+		do()
+	}
+	h.owed = nil
+}
+
 // headers sends a list of fields on a stream.
 func (h *h2Caller) headers(id uint32, end, whole bool, fields [][2]string) {
 	h.write(func() {
@@ -142,6 +166,7 @@
 			h.enc.WriteField(hpack.HeaderField{Name: f[0], Value: f[1]})
 		}
 		h.fr.WriteHeaders(http2.HeadersFrameParam{StreamID: id, BlockFragment: h.buf.Bytes(), EndStream: end, EndHeaders: whole})
+		h.block(!whole)
 	})
 }
 
@@ -220,7 +245,7 @@
 	case "priority":
 		h.write(func() { h.fr.WritePriority(num(1), http2.PriorityParam{}) })
 	case "continuation":
-		h.write(func() { h.fr.WriteContinuation(num(1), end, []byte(quoted)) })
+		h.write(func() { h.fr.WriteContinuation(num(1), end, []byte(quoted)); h.block(!end) })
 	case "raw":
 		h.write(func() { io.WriteString(h.c, quoted) })
 	default:
@@ -249,7 +274,7 @@
 		h.headers(1, true, false, get)
 	case "hpack": // one large field, then references to it: a byte each
 		h.headers(1, true, false, append(get, [2]string{"x-large", strings.Repeat("x", 3500)}))
-		h.write(func() { h.fr.WriteContinuation(1, true, bytes.Repeat([]byte{0x80 | 62}, 12000)) })
+		h.write(func() { h.fr.WriteContinuation(1, true, bytes.Repeat([]byte{0x80 | 62}, 12000)); h.block(false) })
 		return nil
 	}
 	for i := range n {
