Give operators a door with figures and drain by call, and take new classes at SIGHUP

Change: internal/door (machine of a call, driver with a table of its own), internal/figures (atomic counts by class), internal/catalog (places of classes that outlive a reload), events Drain, Beside and a Notice that is succeeded in the module, Policy.Retune.

--- a/api.go
+++ b/api.go
@@ -287,8 +287,26 @@
 	Latency float64
 }
 
-// Notice tells the server that it will be stopped at the given absolute time.
-type Notice struct{ StopAt float64 }
+// Notice tells the server that it will be stopped at the given absolute time. Where another process of the
+// same server has taken over what comes, no caller is to be sent away.
+type Notice struct {
+	StopAt    float64
+	Succeeded bool
+}
+
+// Beside tells what another process of the same server has in hand on the same cores, while one takes over
+// from the other: what was started there and is not over, and the memory that all of it takes.
+type Beside struct {
+	Live int
+	KB   float64
+}
+
+// Load is what this process has in hand, as Beside tells it to another.
+func (p *Policy) Load() Beside { return Beside{p.live() - p.beside.Live, p.used() - p.beside.KB} }
+
+// Drain tells that operators send the clients away from this server, or take them back. The server goes on
+// serving whatever comes.
+type Drain struct{ On bool }
 
 // Timer reports that a Wake is due, with the server's own gauges.
 type Timer struct {
@@ -310,6 +328,8 @@
 func (AtCall) event()  {}
 func (Called) event()  {}
 func (Notice) event()  {}
+func (Beside) event()  {}
+func (Drain) event()   {}
 func (Timer) event()   {}
 
 // An Action is something the host must do at once.
--- a/cmd/whinrudder/main.go
+++ b/cmd/whinrudder/main.go
@@ -94,6 +94,9 @@
 	if err == nil {
 		cfg, err = settings.ParseConfig(text)
 	}
+	if cfg.Admin == "" {
+		cfg.Admin = os.Getenv("ROUTER_ADMIN")
+	}
 	if path := c.String("operator"); path != "" {
 		text, err2 := os.ReadFile(path)
 		if err2 == nil {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -13,6 +13,7 @@
 	"slices"
 
 	"whinrudder"
+	"whinrudder/internal/figures"
 	"whinrudder/internal/knowledge"
 	"whinrudder/internal/ops"
 )
@@ -119,6 +120,18 @@
 	}
 	// Teach brings what other nodes have learned.
 	Teach struct{ knowledge.Prior }
+	// Drained tells that operators send the clients away, or take them back. Done must not block.
+	Drained struct {
+		On   bool
+		Done func()
+	}
+	// Retune brings new settings. Classes keep their places; Fresh are the places that begin anew.
+	Retune struct {
+		Settings whinrudder.Settings
+		Fresh    []int
+		Counts   []*figures.Class // by place
+		Kept     map[int]string   // names of the classes whose results are kept, by place
+	}
 )
 
 func (Arrived) input()    {}
@@ -134,6 +147,8 @@
 func (Verified) input()   {}
 func (Ask) input()        {}
 func (Teach) input()      {}
+func (Drained) input()    {}
+func (Retune) input()     {}
 
 // An Output is something that the drivers must do at once.
 type Output interface{ output() }
@@ -272,6 +287,10 @@
 	ops  *ops.Table     // nil: no results are kept
 	kept map[int]string // names of the classes whose results are
 
+	counts []*figures.Class // by the place of the class; nil: nobody reads them
+	cold   bool             // the worker pool was, when it came up
+	away   bool             // operators have sent the clients away
+
 	taught *knowledge.Prior // waits for the module to be there
 	trial  *knowledge.Trial // of a prior, against own runs; nil without one
 
@@ -381,6 +400,7 @@
 	}
 	a.ID = r.ID
 	c.direct(r.To, a)
+	c.told(r.Class, a.Outcome)
 	c.close(r)
 }
 
@@ -457,6 +477,15 @@
 		c.tell(i)
 	case Teach:
 		c.teach(i.Prior)
+	case Drained:
+		c.away = i.On
+		c.event(whinrudder.Drain{On: i.On})
+		c.log("clients", "code", map[bool]string{true: "sent-away", false: "taken-back"}[i.On])
+		if i.Done != nil {
+			i.Done()
+		}
+	case Retune:
+		c.retune(i)
 	case Lasts:
 		c.ops.Durable(c.now, i.Places, i.Segments)
 	case Lapses:
@@ -479,6 +508,7 @@
 	if c.policy != nil {
 		return
 	}
+	c.cold = b.Cold
 	s := c.settings
 	s.Cold = b.Cold
 	p, err := whinrudder.New(s, c.seed)
@@ -495,6 +525,9 @@
 	if c.taught != nil {
 		c.teach(*c.taught)
 	}
+	if c.away {
+		c.event(whinrudder.Drain{On: true})
+	}
 	if c.leaving {
 		c.event(whinrudder.Notice{StopAt: c.stopAt})
 	}
@@ -511,6 +544,7 @@
 		// Never to the module, and never to the pool: an id that ran once must not run again.
 		c.log("request", "id", q.ID, "code", "duplicate")
 		c.direct(q.To, Answer{ID: q.ID, Outcome: Doubled})
+		c.told(q.Class, Doubled)
 		return
 	}
 	c.reqs[q.ID] = r
@@ -544,7 +578,7 @@
 			continue
 		}
 		if r.open && c.settings.Classes[r.Class].Repeat == whinrudder.Safe {
-			c.do(Spawn{r.ID, r.Class, r.Body})
+			c.spawn(r)
 			continue
 		}
 		if r.op && !r.open {
@@ -563,7 +597,7 @@
 	for _, s := range c.queue {
 		if r := c.reqs[s]; r != nil && r.queued {
 			r.queued = false
-			c.do(Spawn{r.ID, r.Class, r.Body})
+			c.spawn(r)
 		}
 	}
 	c.queue = c.queue[:0]
@@ -703,7 +737,7 @@
 					c.enqueue(r.ID)
 					continue
 				}
-				c.do(Spawn{r.ID, r.Class, r.Body})
+				c.spawn(r)
 			}
 		case whinrudder.Stop:
 			if r := c.reqs[string(a.ID)]; r != nil && r.running && !r.queued && !r.writing {
--- a/internal/core/kept.go
+++ b/internal/core/kept.go
@@ -71,11 +71,16 @@
 // none of the worker pool's memory.
 func (c *Core) Keep(t *ops.Table, names map[int]string) {
 	c.ops, c.kept = t, names
-	all := append([]whinrudder.Class{}, c.settings.Classes...)
-	for i := range names {
+	c.settings.Classes = c.keyed(c.settings.Classes)
+}
+
+// keyed returns classes as the module is to see them.
+func (c *Core) keyed(classes []whinrudder.Class) []whinrudder.Class {
+	all := append([]whinrudder.Class{}, classes...)
+	for i := range c.kept {
 		all[i].Repeat, all[i].Window = whinrudder.Keyed, 0
 	}
-	c.settings.Classes = all
+	return all
 }
 
 func (c *Core) keeps(class int) bool { return c.kept[class] != "" }
@@ -235,7 +240,7 @@
 		c.enqueue(r.ID)
 		return
 	}
-	c.do(Spawn{r.ID, r.Class, r.Body})
+	c.spawn(r)
 }
 
 // fetched serves a request with the result of an earlier one. Its record may have been moved meanwhile.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -7,6 +7,7 @@
 	"math"
 	"strconv"
 	"strings"
+	"sync/atomic"
 
 	"whinrudder"
 	"whinrudder/internal/core"
@@ -41,22 +42,33 @@
 // Bad returns a message that is a fault.
 func Bad(status int, code string) Message { return Message{Fault: &Fault{status, code}} }
 
-// Site is what a front must know to check a request.
-type Site struct {
-	Classes map[string]int
+// Terms are what a front must know to check a request.
+type Terms struct {
+	Classes map[string]int // places of the classes by their names
 	Policy  whinrudder.Settings
 	Kept    map[int]string // classes whose requests may have a token; those of others are passed over
 }
 
+// Site holds the present terms for all connections. They change when new settings come.
+type Site struct{ terms atomic.Pointer[Terms] }
+
 // NewSite names the classes in their order.
 func NewSite(names []string, s whinrudder.Settings) *Site {
-	t := &Site{Classes: map[string]int{}, Policy: s}
+	t := Terms{Classes: map[string]int{}, Policy: s}
 	for i, n := range names {
 		t.Classes[n] = i
 	}
-	return t
+	site := &Site{}
+	site.Set(t)
+	return site
 }
 
+// Terms returns the present terms. What reads them must not change them.
+func (t *Site) Terms() *Terms { return t.terms.Load() }
+
+// Set changes the terms for whatever is checked from now on.
+func (t *Site) Set(terms Terms) { t.terms.Store(&terms) }
+
 // Fields are the values of a request by their names on the platform's protocol, as they came.
 type Fields struct{ ID, Time, From, Wait, KB, Rank, Key, Token string }
 
@@ -108,7 +120,8 @@
 )
 
 // Request checks the fields and makes a request of them.
-func (t *Site) Request(class string, f Fields, body []byte) Message {
+func (s *Site) Request(class string, f Fields, body []byte) Message {
+	t := s.Terms()
 	n, ok := t.Classes[class]
 	if !ok {
 		return Bad(404, "bad-class")
--- a/internal/knowledge/knowledge.go
+++ b/internal/knowledge/knowledge.go
@@ -57,7 +57,7 @@
 func NewReport(names []string, k whinrudder.Knowledge) Report {
 	r := Report{Limit: k.Limit, Pace: k.Pace, Slow: k.Slow, CallBase: k.CallBase}
 	for i, c := range k.Classes {
-		if i < len(names) && c.Cost.N > 0 {
+		if i < len(names) && names[i] != "" && c.Cost.N > 0 {
 			r.Classes = append(r.Classes, Class{names[i], c})
 		}
 	}
--- a/internal/knowledge/trial.go
+++ b/internal/knowledge/trial.go
@@ -42,6 +42,13 @@
 	return t, t.prior.Knowledge, remarks, true
 }
 
+// Forget gives up what the prior says of the class in a place, which is another class's now.
+func (t *Trial) Forget(place int) {
+	if t != nil && place < len(t.prior.Classes) {
+		t.prior.Classes[place] = whinrudder.ClassKnowledge{}
+	}
+}
+
 // Watch looks at what the node knows by now. A prior that no own runs have replaced by its end is given up. If the prior has changed by it, it returns what the module is to adopt in
 // its place and true.
 func (t *Trial) Watch(now float64, own whinrudder.Knowledge) (whinrudder.Knowledge, []Remark, bool) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,7 +13,10 @@
 	"sync/atomic"
 	"time"
 
+	"whinrudder/internal/catalog"
 	"whinrudder/internal/core"
+	"whinrudder/internal/door"
+	"whinrudder/internal/figures"
 	"whinrudder/internal/folder"
 	"whinrudder/internal/front"
 	"whinrudder/internal/h2"
@@ -58,9 +61,15 @@
 	core *core.Core
 	link *link
 
+	figures figures.Book
+	serving atomic.Bool // the worker pool is up, and the module serves
+
 	reports reporter
 	mu      sync.Mutex // of what follows, which a reload changes
 	stopMs  float64
+	view    catalog.View
+
+	catalog *catalog.Catalog // of the goroutine of reloads
 
 	folderAt  func(path string) (folder.Folder, error)
 	keeper    *kept.Keeper // nil: no results are kept
@@ -88,8 +97,11 @@
 	}
 	n := &Node{cfg: cfg, op: op, site: front.NewSite(cfg.Settings.Classes, cfg.Settings.Policy), out: newLogger(log, op.JSONLog), core: c,
 		addrs: map[string]string{}, in: make(chan core.Input, 4096), quit: make(chan struct{}), over: make(chan struct{})}
-	n.site.Kept, n.folderAt = kept, folder.At
-	n.conns.most = cfg.Sockets - ownSockets
+	n.folderAt, n.catalog = folder.At, catalog.New(cfg.Settings)
+	n.view = n.catalog.View(cfg.Settings.Policy)
+	n.site.Set(n.terms(n.view, kept))
+	c.Count(n.figures.Classes(n.view.Names))
+	n.conns.most = n.mostConns(cfg)
 	n.idle.Store(int64(cfg.Settings.Policy.KeepAlive))
 	n.taking.Store(true)
 	n.stopMs = cfg.StopMs
@@ -98,6 +110,14 @@
 	return n, nil
 }
 
+// mostConns is how many connections of callers there may be.
+func (n *Node) mostConns(cfg settings.Config) int {
+	if n.cfg.Admin != "" {
+		return cfg.Sockets - ownSockets - door.MaxConns
+	}
+	return cfg.Sockets - ownSockets
+}
+
 func (n *Node) log(word string, pairs ...any) { n.out.event(word, pairs...) }
 
 // limits keeps the process within what the configuration grants it. A sync of a disk holds a thread, and with it, for as
@@ -241,6 +261,7 @@
 			n.carry(o)
 		}
 		n.open.Store(int64(n.core.Open()))
+		n.figures.Current.Store(int64(n.core.Open()))
 		n.link.flush()
 	}
 }
@@ -257,6 +278,7 @@
 		n.conns.wakeAll()
 	case core.Ready:
 		n.log("ready", "cold", o.Cold)
+		n.serving.Store(true)
 		n.parted(func(p Part) { p.Ready(o.Cold) })
 	case core.Leaving:
 		n.taking.Store(false)
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/valyala/fastjson"
 
+	"whinrudder/internal/core"
+	"whinrudder/internal/door"
 	"whinrudder/internal/folder"
 	"whinrudder/internal/kept"
 	"whinrudder/internal/warmup"
@@ -22,9 +25,17 @@
 
 // start starts the parts that the operator's file turns on.
 func (n *Node) start() error {
+	if n.cfg.Admin != "" {
+		d, err := door.Open(n.cfg.Admin, operators{n}, n.log)
+		if err != nil {
+			return err
+		}
+		n.addrs["admin"] = d.Addr()
+		n.parts = append(n.parts, opened{d})
+	}
 	peerAddr := ""
 	if n.op.Peer.On() {
-		h := warmup.Host{Name: n.cfg.Name, Names: n.cfg.Settings.Classes, Settings: n.cfg.Settings.Policy, Seed: n.cfg.Seed,
+		h := warmup.Host{Name: n.cfg.Name, Terms: n.present, Seed: n.cfg.Seed,
 			Tell: n.tell, Log: n.log, InHand: n.InHand}
 		if len(n.op.Ensemble) > 0 {
 			h.Find = n.findDonors
@@ -66,7 +77,7 @@
 	if err != nil {
 		return fmt.Errorf("kept: %w", err)
 	}
-	n.core.Keep(t, n.site.Kept)
+	n.core.Keep(t, n.site.Terms().Kept)
 	n.keeper, n.parts = k, append(n.parts, k)
 	return k.Run(n.op.Kept.Dir)
 }
@@ -118,3 +129,39 @@
 }
 
 func (m *membership) Ended(float64) {}
+
+// opened is the operators' door.
+type opened struct{ *door.Door }
+
+func (opened) Ready(bool)         {}
+func (opened) Reload()            {}
+func (opened) Leaving(float64)    {}
+func (o opened) Ended(by float64) { o.Close(by) }
+
+// operators is what the door asks the node.
+type operators struct{ *Node }
+
+func (o operators) Ready() bool { return o.serving.Load() && o.taking.Load() }
+
+func (o operators) AppendFigures(b []byte) []byte { return o.figures.AppendText(b) }
+
+func (o operators) Drain(on bool, by float64) bool {
+	done := make(chan struct{})
+	late := time.NewTimer(time.Until(at(by)))
+	defer late.Stop()
+	select {
+	case o.in <- core.Drained{On: on, Done: func() { close(done) }}:
+	case <-o.over:
+		return false
+	case <-late.C:
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-o.over:
+		return false
+	case <-late.C:
+		return false
+	}
+}
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -5,6 +5,10 @@
 	"reflect"
 	"strings"
 
+	"whinrudder"
+	"whinrudder/internal/catalog"
+	"whinrudder/internal/core"
+	"whinrudder/internal/front"
 	"whinrudder/internal/settings"
 )
 
@@ -21,24 +25,36 @@
 		case <-signals:
 		}
 		cfg, op, err := load()
+		if err == nil {
+			err = n.reload(cfg, op)
+		}
 		if err != nil {
+			n.figures.ConfInvalid.Add(1)
 			n.log("reload", "code", "faulty", "error", err)
-			continue
 		}
-		n.reload(cfg, op)
 	}
 }
 
-// reload moves the link and the reports to new addresses and applies the limits and stop_ms. The rest is fixed for
-// the life of the process: connections, runs and the module were built on it.
-func (n *Node) reload(cfg settings.Config, op settings.Operator) {
+// reload moves the link and the reports to new addresses and applies the settings, the limits and stop_ms. The rest is
+// fixed for the life of the process. An error means that nothing was changed.
+func (n *Node) reload(cfg settings.Config, op settings.Operator) error {
+	if err := cfg.Lacks(n.cfg); err != nil {
+		return err
+	}
+	if _, err := n.op.KeptOf(cfg); err != nil {
+		return err
+	}
+	view, err := n.catalog.Change(cfg.Settings, now())
+	if err != nil {
+		return err
+	}
 	var kept []string
 	for _, f := range []struct {
 		name     string
 		old, new any
 	}{
 		{"name", n.cfg.Name, cfg.Name}, {"listen", n.cfg.Listen, cfg.Listen}, {"seed", n.cfg.Seed, cfg.Seed},
-		{"settings", n.cfg.Settings, cfg.Settings}, {"operator", n.op, op},
+		{"admin", n.cfg.Admin, cfg.Admin}, {"operator", n.op, op},
 	} {
 		if !reflect.DeepEqual(f.old, f.new) {
 			kept = append(kept, f.name)
@@ -47,10 +63,48 @@
 	n.mu.Lock()
 	n.stopMs = cfg.StopMs
 	n.mu.Unlock()
+	n.retune(view, cfg.Settings.Gauges)
 	limits(cfg, n.op)
-	n.conns.limit(cfg.Sockets - ownSockets)
+	n.conns.limit(n.mostConns(cfg))
 	n.link.move(cfg.Pool)
 	n.reports.move(cfg.Announce)
 	n.parted(Part.Reload)
-	n.log("reload", "code", "ok", "pool", cfg.Pool, "announce", cfg.Announce, "kept", strings.Join(kept, ","))
+	n.figures.ConfLoaded.Add(1)
+	n.log("reload", "code", "ok", "pool", cfg.Pool, "announce", cfg.Announce, "classes", len(cfg.Settings.Classes), "kept",
+		strings.Join(kept, ","))
+	return nil
+}
+
+// retune takes over new settings: first the link, which must know a class before a run of it is handed over, then the
+// core, which must know it before a request of it comes, and at last the fronts.
+func (n *Node) retune(v catalog.View, gauges []string) {
+	n.mu.Lock()
+	n.view = v
+	n.mu.Unlock()
+	n.link.mu.Lock()
+	n.link.machine.Retune(v.Names, gauges)
+	n.link.mu.Unlock()
+	names := map[int]string{}
+	for _, k := range n.op.Kept.Classes {
+		names[v.Serves[k]] = k
+	}
+	t := n.terms(v, names)
+	n.tell(core.Retune{Settings: v.Settings, Fresh: v.Fresh, Counts: n.figures.Classes(v.Names), Kept: t.Kept})
+	n.site.Set(t)
+}
+
+// terms are what the fronts must know of a view, with the classes whose results are kept.
+func (n *Node) terms(v catalog.View, kept map[int]string) front.Terms {
+	return front.Terms{Classes: v.Serves, Policy: v.Settings, Kept: kept}
+}
+
+// present returns the present settings and the names of the classes, by their places.
+func (n *Node) present() ([]string, whinrudder.Settings) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	names := make([]string, len(n.view.Names))
+	for name, i := range n.view.Serves {
+		names[i] = name
+	}
+	return names, n.view.Settings
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -55,6 +55,9 @@
 	return &Link{classes: classes, gauges: gauges, fence: notBound}
 }
 
+// Retune takes over the names of the classes, by their places, and of the gauges.
+func (l *Link) Retune(classes, gauges []string) { l.classes, l.gauges = classes, gauges }
+
 // notBound stands in the place of a fence until the worker pool says that it is up.
 const notBound = "not bound"
 
--- a/internal/rehearse/caller.go
+++ b/internal/rehearse/caller.go
@@ -104,6 +104,8 @@
 		}
 		// %TIME% stands for the present instant, so that recorded requests stay alive.
 		b = []byte(strings.ReplaceAll(s, "%TIME%", fmt.Sprint(c.sent.UnixMilli())))
+	case "door":
+		b = fmt.Appendf(nil, "%s HTTP/1.1\r\nHost: admin\r\n\r\n", text)
 	case "check":
 		if query := map[string]string{"real": "real=1"}[text]; c.h2 != nil {
 			c.h2.request("GET", "/health", query, nil, "")
--- a/internal/rehearse/player.go
+++ b/internal/rehearse/player.go
@@ -17,6 +17,7 @@
 //	call NAME CLASS ID k=v ..  caller NAME sends a request: wait, time, kb, rank, from, key, token, body
 //	                           (a NAME.http or NAME.uwsgi speaks that protocol in any play)
 //	check NAME [real]          caller NAME sends a health check
+//	door NAME.admin METHOD PATH   an operator calls at the door, on a connection of its own
 //	answer NAME ...            the answer that the caller reads: status, advice, body; of several, NAME,NAME, the
 //	                           first that comes, as what they sent may be read in any order
 //	send NAME "BYTES"          raw bytes, quoted as in Go
@@ -27,6 +28,7 @@
 //	reload [KEY=VALUE ...]     the pool and the announce service get new addresses, and the node reads the new file;
 //	                           what the pool says goes over the old link until the node has made the new one
 //	reload faulty              the node reads a file that is none
+//	reload lacking KEY         the node reads a file that lacks a key
 //	reloaded CODE [kept=..]    what the node logged of it
 //	restart                    the node is killed, and another is started on what it left
 //	resolve KEY HOW [RESULT] [=> WHY]   an operator's word on a kept operation: finished, failed or not-run; WHY it fails
@@ -105,22 +107,33 @@
 
 func options() map[string]string {
 	return map[string]string{"cores": "2", "aim_ms": "6000", "deadline_ms": "9000", "stop_ms": "3000",
-		"sockets": "128", "fresh_ms": "0", "keepalive_ms": "30000", "deep": "true", "take_ms": "5000", "kept": "0"}
+		"sockets": "128", "fresh_ms": "0", "keepalive_ms": "30000", "deep": "true", "take_ms": "5000", "kept": "0",
+		"admin": "", "classes": "status-lookup,rate-quote,payout-book"}
 }
 
-const config = `{"name":"r1","listen":"127.0.0.1:0","pool":"%s","announce":"%s","seed":"8c1f30d27a5be964",
+const config = `{"name":"r1","listen":"127.0.0.1:0","admin":"$admin","pool":"%s","announce":"%s","seed":"8c1f30d27a5be964",
 "stop_ms":$stop_ms,"limits":{"cores":1.0,"memory_mb":192,"sockets":$sockets},
 "settings":{"allowed":{"max_retry_after_ms":1000,"retry_after":true},"servers":3,"tick_ms":2,"worth_by":"request",
 "goal":{"whole":0.6,"worst_class":0.2,"worst_window":0.2},"rules":{"cold_from":0.2,"drain_grace_ms":2000,
 "fall_multiple":8,"grace_to_answer_ms":80,"overload_for_ms":1500,"ramp_time_ms":17000},
-"profiles":[
-{"name":"status-lookup","aim_ms":$aim_ms,"deadline_ms":$deadline_ms,"repeat":"repeatable","worth":1},
-{"name":"rate-quote","aim_ms":$aim_ms,"deadline_ms":$deadline_ms,"repeat":"repeatable","worth":1},
-{"name":"payout-book","aim_ms":$aim_ms,"deadline_ms":$deadline_ms,"repeat":"once","worth":3}],
+"profiles":[$profiles],
 "specifics":{"below":"silent","callers":3,"cores":$cores,"deep_checks":$deep,"fresh_ms":$fresh_ms,"halt":"abort",
 "heard_for_ms":1000,"keepalive_max_ms":$keepalive_ms,"entry_kb":10,"ram_kb":90000,"run_factor":16,"say":"window",
 "own_stats":["cpu_busy","runnable","mem_used","sockets"],"passes_deadline":true,"tells_gone":true}}}`
 
+// profiles are classes by their names. One whose name begins with payout runs once.
+func profiles(names string) string {
+	var all []string
+	for n := range strings.SplitSeq(names, ",") {
+		repeat, worth := "repeatable", 1
+		if strings.HasPrefix(n, "payout") {
+			repeat, worth = "once", 3
+		}
+		all = append(all, fmt.Sprintf(`{"name":%q,"aim_ms":$aim_ms,"deadline_ms":$deadline_ms,"repeat":%q,"worth":%d}`, n, repeat, worth))
+	}
+	return strings.Join(all, ",")
+}
+
 // start brings the node up between its stand-ins.
 func (p *player) start(args []string) (err error) {
 	peered, discover := false, false
@@ -207,6 +220,7 @@
 // write puts the present addresses and options into the file.
 func (p *player) write() {
 	text := fmt.Sprintf(config, p.pool.l.Addr(), p.reports.c.LocalAddr())
+	text = strings.ReplaceAll(text, "$profiles", profiles(p.opts["classes"]))
 	for k, v := range p.opts {
 		text = strings.ReplaceAll(text, "$"+k, v)
 	}
@@ -221,6 +235,11 @@
 		p.mu.Lock()
 		p.file = "{"
 		p.mu.Unlock()
+	} else if len(args) == 2 && args[0] == "lacking" {
+		p.write()
+		p.mu.Lock()
+		p.file = strings.ReplaceAll(p.file, `"`+args[1]+`":`, `"other":`)
+		p.mu.Unlock()
 	} else {
 		for _, a := range args {
 			k, v, _ := strings.Cut(a, "=")
@@ -270,9 +289,9 @@
 		return p.zk.step(line, name, more)
 	case "announce":
 		return "announce < " + p.reports.wait(more), nil
-	case "call", "check", "send":
+	case "call", "check", "send", "door":
 		c := p.callers[name]
-		if c == nil || c.protocol == "uwsgi" && word != "send" {
+		if c == nil || (c.protocol == "uwsgi" || c.protocol == "admin") && word != "send" {
 			var err error
 			if c, err = p.dial(name); err != nil {
 				return word + " " + name + " refused", nil
--- a/internal/settings/config.go
+++ b/internal/settings/config.go
@@ -15,11 +15,14 @@
 // Config is what a payout node is told at its start.
 type Config struct {
 	Name, Listen, Pool, Announce string
+	Admin                        string // address of the operators' door; empty: none
 	Seed                         uint64
 	StopMs                       float64
 	Cores                        float64 // of the program, not of the worker pool
 	MemoryMB, Sockets            int
 	Settings                     Settings
+
+	shape shape // of the file
 }
 
 // ParseConfig reads a configuration. The error names every fault.
@@ -32,7 +35,7 @@
 	root := r.object("config", v)
 	limits := r.object("limits", root.Get("limits"))
 	c := Config{Name: r.text(root, "name"), Listen: r.text(root, "listen"), Pool: r.text(root, "pool"),
-		Announce: r.text(root, "announce"), StopMs: r.num(root, "stop_ms"), Cores: r.num(limits, "cores"),
+		Announce: r.text(root, "announce"), Admin: r.text(root, "admin"), StopMs: r.num(root, "stop_ms"), Cores: r.num(limits, "cores"),
 		MemoryMB: r.count(limits, "memory_mb"), Sockets: r.count(limits, "sockets")}
 	if seed := r.text(root, "seed"); seed != "" {
 		if c.Seed, err = strconv.ParseUint(seed, 16, 64); err != nil {
@@ -50,6 +53,11 @@
 			r.fault("%s: %v", a.key, err)
 		}
 	}
+	if c.Admin != "" {
+		if err := CheckAddr(c.Admin); err != nil {
+			r.fault("admin: %v", err)
+		}
+	}
 	want(c.StopMs > 0, "stop_ms is %v, want more than 0", c.StopMs)
 	want(c.Cores > 0, "limits.cores is %v, want more than 0", c.Cores)
 	want(c.MemoryMB >= 16, "limits.memory_mb is %d, want at least 16", c.MemoryMB)
@@ -58,7 +66,7 @@
 		r.fault("settings are absent")
 	}
 	s, err := FromValue(root.Get("settings"))
-	c.Settings = s
+	c.Settings, c.shape = s, shapeOf(v)
 	return c, errors.Join(errors.Join(r.faults...), err, s.Policy.Check(), s.serves())
 }
 
--- a/internal/warmup/warmup.go
+++ b/internal/warmup/warmup.go
@@ -35,14 +35,15 @@
 
 // Host is what the node is to this package.
 type Host struct {
-	Name     string
-	Names    []string // of the classes
-	Settings whinrudder.Settings
-	Seed     uint64
-	Tell     func(core.Input) // hands something to the core; must not be called from the core
-	Log      eventlog.Log
-	InHand   func() int                         // requests that are owed an answer
-	Find     func(by float64) ([]string, error) // addresses of donors among the znodes; nil without an ensemble
+	Name string
+	// Terms returns the present settings and the names of the classes, by their places; a place whose class is no more
+	// has no name.
+	Terms  func() (names []string, s whinrudder.Settings)
+	Seed   uint64
+	Tell   func(core.Input) // hands something to the core; must not be called from the core
+	Log    eventlog.Log
+	InHand func() int                         // requests that are owed an answer
+	Find   func(by float64) ([]string, error) // addresses of donors among the znodes; nil without an ensemble
 }
 
 // WarmUp is this part of one node. Create it with Start.
@@ -114,7 +115,8 @@
 	w.ready = now()
 	w.warmAt = w.ready
 	if cold {
-		w.warmAt += w.h.Settings.Rules.RampTime
+		_, s := w.h.Terms()
+		w.warmAt += s.Rules.RampTime
 	}
 }
 
@@ -197,7 +199,8 @@
 		if !a.known {
 			return r, false
 		}
-		r = knowledge.NewReport(w.h.Names, a.k)
+		names, _ := w.h.Terms()
+		r = knowledge.NewReport(names, a.k)
 	case <-time.After(time.Until(at(t + askFor))):
 		return r, false
 	case <-w.over:
@@ -213,7 +216,8 @@
 func (w *WarmUp) dress(r knowledge.Report) knowledge.Report {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	r.Node, r.Cores, r.Draining = w.h.Name, w.h.Settings.Cores, w.leaving
+	_, s := w.h.Terms()
+	r.Node, r.Cores, r.Draining = w.h.Name, s.Cores, w.leaving
 	if w.ready > 0 {
 		r.Life, r.Warm = now()-w.ready, now() >= w.warmAt
 	}
@@ -224,7 +228,8 @@
 func (w *WarmUp) full() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	limit := w.report.Limit.Value * float64(w.h.Settings.Cores)
+	_, s := w.h.Terms()
+	limit := w.report.Limit.Value * float64(s.Cores)
 	return w.reportAt > 0 && limit > 0 && float64(w.h.InHand()) >= limit
 }
 
@@ -301,7 +306,8 @@
 	if len(reports) == 0 {
 		return
 	}
-	prior, remarks := knowledge.Merge(w.trust(), knowledge.Need{Names: w.h.Names, Settings: w.h.Settings}, reports)
+	names, s := w.h.Terms()
+	prior, remarks := knowledge.Merge(w.trust(), knowledge.Need{Names: names, Settings: s}, reports)
 	for _, r := range remarks {
 		w.h.Log("prior", r.Pairs()...)
 	}
--- a/internal/warmup/warmup_test.go
+++ b/internal/warmup/warmup_test.go
@@ -51,8 +51,10 @@
 		cfg.SnapshotMs = 3600e3
 	}
 	class := whinrudder.Class{Aim: 1000, Deadline: 3000, Repeat: whinrudder.Safe}
-	h := Host{Name: name, Names: []string{"status", "book"}, Tell: n.tell, Log: n.log, InHand: func() int { return n.inHand },
-		Settings: whinrudder.Settings{Cores: 4, Classes: []whinrudder.Class{class, class}}}
+	h := Host{Name: name, Tell: n.tell, Log: n.log, InHand: func() int { return n.inHand },
+		Terms: func() ([]string, whinrudder.Settings) {
+			return []string{"status", "book"}, whinrudder.Settings{Cores: 4, Classes: []whinrudder.Class{class, class}}
+		}}
 	w, err := Start(h, cfg)
 	if err != nil {
 		t.Fatal(err)
--- a/policy.go
+++ b/policy.go
@@ -40,7 +40,6 @@
 	callerSpan   = 2000  // a caller heard of within this time takes part in the split of the credit
 	closeLeast   = 10.0  // hosts close no connection that was idle for less
 	connWorth    = 0.2   // a new connection costs as much as an idle one kept for this part of KeepAlive
-	idleSteps    = 12    // idle times that are weighed, each half of the one before, down from KeepAlive
 	classSpan    = 15000 // shares of classes in the traffic are means over this time
 	unreadShare  = 0.5   // part of the shortest aim spent unread at which runs give way to reading
 	holdShare    = 0.4   // part of the aim that a request may wait, unread and held, before it starts
@@ -165,10 +164,10 @@
 
 	heard   []*caller
 	byID    map[int]*caller
-	sum, sq float64            // requests of callers heard lately, and sum of the squares by caller
-	idle    [idleSteps]float64 // cost of closing at each idle time, lately, in time a connection is kept
-	trim    float64            // what was told last
-	unread  float64            // time that requests waited before they were read, lately
+	sum, sq float64  // requests of callers heard lately, and sum of the squares by caller
+	idle    fit.Idle // cost of closing at each idle time, lately, in time a connection is kept
+	trim    float64  // what was told last
+	unread  float64  // time that requests waited before they were read, lately
 	said    float64
 
 	callLimit, callLat, callMin float64
@@ -177,7 +176,10 @@
 
 	sickTo                  float64 // checks fail until then
 	closed                  bool    // it leaves and asks for no more traffic
+	away                    bool    // operators drain it: checks fail, and all else goes on as always
 	sick, leaving           bool
+	succeeded               bool // another process of this server takes over what comes
+	beside                  Beside
 	closeAt, notice, stopAt float64
 }
 
@@ -204,22 +206,29 @@
 	if err := s.Check(); err != nil {
 		return nil, err
 	}
-	p := &Policy{s: s, cores: float64(s.Cores), reqs: map[RequestID]*request{},
-		byID: map[int]*caller{}, said: -1, trim: s.KeepAlive}
+	p := &Policy{reqs: map[RequestID]*request{}, byID: map[int]*caller{}, said: -1, trim: s.KeepAlive}
 	p.hold = order.NewHold((*request).alike, func(r *request) *request { like := *r; return &like })
-	p.limit = p.cores
-	p.pace, p.slow = p.cores, 1
-	p.classes = make([]class, len(s.Classes))
-	p.aimLeast = s.Classes[0].Aim
+	p.Retune(s)
+	p.limit, p.pace, p.slow, p.callLimit = p.cores, p.cores, 1, max(1, s.CallShare/2)
+	return p, nil
+}
+
+// Retune takes settings that have passed their check in place of the old ones. Classes keep their places, and
+// what was learned of them but for those that are fresh; one that is no more keeps it for what is in hand.
+func (p *Policy) Retune(s Settings, fresh ...int) {
+	p.s, p.cores = s, float64(s.Cores)
+	p.aimLeast, p.aimMost = s.Classes[0].Aim, 0
 	for _, c := range s.Classes {
 		p.aimLeast, p.aimMost = min(p.aimLeast, c.Aim), max(p.aimMost, c.Aim)
 	}
-	p.quota = make([]float64, len(s.Tenants))
-	for i := range p.quota {
-		p.quota[i] = quotaBurst * p.quotaRate(i)
+	p.classes = append(p.classes, make([]class, max(0, len(s.Classes)-len(p.classes)))...)
+	for _, i := range fresh {
+		p.classes[i] = class{}
+	}
+	p.quota = p.quota[:min(len(p.quota), len(s.Tenants))]
+	for i := len(p.quota); i < len(s.Tenants); i++ {
+		p.quota = append(p.quota, quotaBurst*p.quotaRate(i))
 	}
-	p.callLimit = max(1, s.CallShare/2)
-	return p, nil
 }
 
 // Step takes all events of one instant, in order, and appends the actions that answer them.
@@ -251,12 +260,19 @@
 			if !p.leaving {
 				p.leaving, p.notice, p.stopAt = true, now, e.StopAt
 				p.closeAt = now
-				if p.needed() {
+				if p.succeeded = e.Succeeded; p.succeeded {
+					p.closeAt = math.Inf(1)
+				} else if p.needed() {
 					p.closeAt += min(closeShare*p.s.Rules.DrainGrace, (p.stopAt-now)/2)
 					p.do(Wake{At: p.closeAt})
 				}
 				p.do(Wake{At: p.stopAt - 3*p.s.Tick})
 			}
+		case Beside:
+			p.beside = e
+		case Drain:
+			p.away = e.On
+			p.do(Health{Stored: true, Good: !p.sick && !p.away && !p.closed})
 		case Timer:
 			p.timer(e)
 		}
@@ -297,10 +313,12 @@
 	}
 }
 
-// live counts those that were started and are not over.
-func (p *Policy) live() int { return p.count[running] + p.count[waiting] + p.count[calling] }
+// live counts those that were started and are not over, here and beside.
+func (p *Policy) live() int {
+	return p.count[running] + p.count[waiting] + p.count[calling] + p.beside.Live
+}
 
-func (p *Policy) used() float64 { return p.kb + float64(p.keys.Len())*p.s.EntryKB }
+func (p *Policy) used() float64 { return p.kb + float64(p.keys.Len())*p.s.EntryKB + p.beside.KB }
 
 // advance moves the integrals up to now. Disk waits show in the gauge only: extra may be negative.
 func (p *Policy) advance(now float64) {
@@ -550,7 +568,7 @@
 		p.byID[id] = c
 		p.heard = append(p.heard, c)
 	} else if c.open == 0 {
-		p.gap(&p.idle, p.now-c.last, true)
+		p.idle.Back(p.now-c.last, p.s.KeepAlive, connWorth)
 	}
 	p.sum++
 	p.sq += 2*c.count + 1
@@ -569,18 +587,6 @@
 	p.due.Remove(&r.timer)
 }
 
-// gap adds to costs what an idle time of a caller costs under each choice of when to close its connection.
-func (p *Policy) gap(costs *[idleSteps]float64, g float64, back bool) {
-	at := p.s.KeepAlive
-	for i := range costs {
-		costs[i] += min(g, at)
-		if back && g > at {
-			costs[i] += connWorth * p.s.KeepAlive
-		}
-		at /= 2
-	}
-}
-
 // connections closes idle connections where keeping them costs more than opening new ones: many rare callers
 // fill a table that takes a part of the cores and denies the rest. With few busy callers it closes none.
 // It may hurt where new connections cost much more than assumed.
@@ -596,22 +602,16 @@
 		if c.open > 0 {
 			return false
 		}
-		p.gap(&costs, p.now-c.last, false)
+		costs.Away(p.now-c.last, p.s.KeepAlive)
 		old := p.now-c.last > max(callerSpan, p.s.KeepAlive)
 		if old {
-			p.gap(&p.idle, p.now-c.last, false)
+			p.idle.Away(p.now-c.last, p.s.KeepAlive)
 			delete(p.byID, c.id)
 		}
 		return old
 	})
-	best := 0
-	for i := range costs {
-		p.idle[i] *= math.Exp(-leasePeriod / max(leasePeriod, p.s.KeepAlive))
-		if costs[i] < costs[best] {
-			best = i
-		}
-	}
-	if at := max(closeLeast, p.s.KeepAlive/math.Exp2(float64(best))); at != p.trim && p.s.KeepAlive > 0 {
+	p.idle.Fade(math.Exp(-leasePeriod / max(leasePeriod, p.s.KeepAlive)))
+	if at := max(closeLeast, costs.Least(p.s.KeepAlive)); at != p.trim && p.s.KeepAlive > 0 {
 		p.trim = at
 		p.do(CloseIdle{at})
 	}
@@ -647,9 +647,10 @@
 // one that is full says how long its line lasts, the one turned away included. Where the fleet as a whole is
 // overloaded, a server that sends callers away only makes the others fuller: it asks not to be passed over.
 func (p *Policy) refuse(r *request) {
-	a := Refuse{ID: r.ID, NotElsewhere: p.press > 1 && p.busy >= busyShare && !p.leaving}
+	leaves := p.leaving && !p.succeeded
+	a := Refuse{ID: r.ID, NotElsewhere: p.press > 1 && p.busy >= busyShare && !leaves}
 	switch {
-	case p.leaving || p.sick:
+	case leaves || p.sick:
 		a.RetryAfter = p.s.MaxRetryAfter
 	case !a.NotElsewhere:
 		line := p.hold.Sum(func(like *request) float64 { return like.cost })
@@ -838,7 +839,7 @@
 	}
 	if p.sick && p.now > p.sickTo {
 		p.sick = false
-		p.do(Health{Stored: true, Good: true})
+		p.do(Health{Stored: true, Good: !p.away})
 	}
 }
 
@@ -862,7 +863,7 @@
 	})
 	ahead, stretch, slots := 0.0, max(1, p.limit/p.cores), math.Floor(p.slots())
 	fits := func(kb float64) bool {
-		return float64(p.count[running]) < slots && float64(p.live()) < p.crowd() &&
+		return float64(p.count[running]+p.beside.Live) < slots && float64(p.live()) < p.crowd() &&
 			p.used()+kb <= memoryShare*p.s.Memory
 	}
 	// lasts tells whether the last of n more is started and answered in time.
