Let a process started beside the node take its sockets, connections and knowledge

Need: in an upgrade a second process starts with the same addresses.

Change: internal/handover (both sides as state machines), internal/upgrade (a Unix socket in the shared folder, descriptors by SCM_RIGHTS), the node's seam has Succeeded. The successor takes the listening sockets before it serves, connections at rest after; both count what the other has in hand, know each other's ids, and share descriptors. A notice to leave with a successor sends nobody away. The socket's queue is never closed, so nothing is reset in it; SO_REUSEPORT and a parent process were not taken, see docs/design/operation.md.

Three exchanges of upgrades, transcripts of both machines, talks in pieces, hostile successors, a predecessor that hangs. The first play found two faults: an end of the pipe was told as a reset, and the load that is told could be a negative rounding error, which the other side refused.

--- a/api.go
+++ b/api.go
@@ -302,7 +302,9 @@
 }
 
 // Load is what this process has in hand, as Beside tells it to another.
-func (p *Policy) Load() Beside { return Beside{p.live() - p.beside.Live, p.used() - p.beside.KB} }
+func (p *Policy) Load() Beside {
+	return Beside{p.live() - p.beside.Live, max(0, p.used()-p.beside.KB)} // sums of floats are not exact
+}
 
 // Drain tells that operators send the clients away from this server, or take them back. The server goes on
 // serving whatever comes.
--- a/cmd/whinrudder/main.go
+++ b/cmd/whinrudder/main.go
@@ -104,6 +104,9 @@
 		}
 		err = errors.Join(err, err2)
 	}
+	if op.UpgradeDir == "" && cfg.Admin != "" { // where there is a door, a successor finds this process
+		op.UpgradeDir = os.Getenv("TMPDIR")
+	}
 	if err == nil {
 		_, err = op.KeptOf(cfg)
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -86,8 +86,12 @@
 		Deep bool
 		To   Sink
 	}
-	// Leave is the notice to drain: the process is stopped at the given time.
-	Leave struct{ StopAt float64 }
+	// Leave is the notice to drain: the process is stopped at the given time. Where another process has taken over,
+	// nobody is to be sent away.
+	Leave struct {
+		StopAt    float64
+		Succeeded bool
+	}
 	// Bound tells that the worker pool is up, and since when and how it started.
 	Bound struct {
 		Cold bool
@@ -120,6 +124,17 @@
 	}
 	// Teach brings what other nodes have learned.
 	Teach struct{ knowledge.Prior }
+	// Share asks for what is in hand, and for the ids that were read since the last time, for another process of this
+	// node. To must not block. An end forgets what was told.
+	Share struct {
+		End bool
+		To  func(load whinrudder.Beside, ids []string)
+	}
+	// Beside brings what another process of this node shares.
+	Beside struct {
+		whinrudder.Beside
+		IDs []string
+	}
 	// Drained tells that operators send the clients away, or take them back. Done must not block.
 	Drained struct {
 		On   bool
@@ -148,6 +163,8 @@
 func (Ask) input()        {}
 func (Teach) input()      {}
 func (Drained) input()    {}
+func (Share) input()      {}
+func (Beside) input()     {}
 func (Retune) input()     {}
 
 // An Output is something that the drivers must do at once.
@@ -287,17 +304,21 @@
 	ops  *ops.Table     // nil: no results are kept
 	kept map[int]string // names of the classes whose results are
 
-	counts []*figures.Class // by the place of the class; nil: nobody reads them
-	cold   bool             // the worker pool was, when it came up
-	away   bool             // operators have sent the clients away
+	counts []*figures.Class  // by the place of the class; nil: nobody reads them
+	cold   bool              // the worker pool was, when it came up
+	away   bool              // operators have sent the clients away
+	beside whinrudder.Beside // what another process of this node has in hand
+	shares bool              // ids that are read are kept for it
+	fresh  []string          // those that it was not told of
 
 	taught *knowledge.Prior // waits for the module to be there
 	trial  *knowledge.Trial // of a prior, against own runs; nil without one
 
-	leaving bool
-	stopAt  float64
-	deaf    bool
-	ended   bool
+	leaving   bool
+	succeeded bool // another process of this node takes over
+	stopAt    float64
+	deaf      bool
+	ended     bool
 }
 
 // New returns the core of a node that starts now.
@@ -451,8 +472,8 @@
 		c.checked(i)
 	case Leave:
 		if !c.leaving {
-			c.leaving, c.stopAt = true, i.StopAt
-			c.event(whinrudder.Notice{StopAt: i.StopAt})
+			c.leaving, c.stopAt, c.succeeded = true, i.StopAt, i.Succeeded
+			c.event(whinrudder.Notice{StopAt: i.StopAt, Succeeded: i.Succeeded})
 			c.do(Leaving{})
 		}
 	case Bound:
@@ -484,6 +505,10 @@
 		if i.Done != nil {
 			i.Done()
 		}
+	case Share:
+		c.share(i)
+	case Beside:
+		c.besides(i)
 	case Retune:
 		c.retune(i)
 	case Lasts:
@@ -528,8 +553,11 @@
 	if c.away {
 		c.event(whinrudder.Drain{On: true})
 	}
+	if c.beside != (whinrudder.Beside{}) {
+		c.event(c.beside)
+	}
 	if c.leaving {
-		c.event(whinrudder.Notice{StopAt: c.stopAt})
+		c.event(whinrudder.Notice{StopAt: c.stopAt, Succeeded: c.succeeded})
 	}
 }
 
@@ -548,6 +576,9 @@
 		return
 	}
 	c.reqs[q.ID] = r
+	if c.shares && len(c.fresh) < maxIDs {
+		c.fresh = append(c.fresh, q.ID)
+	}
 	c.open++
 	heap.Push(&c.latest, due[*request]{q.Due + backstop, r})
 	// Nothing can run: the worker pool is not up, or nobody waits any more. A stamp of long ago must not make the
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -283,3 +283,50 @@
 	c.Step(1000, []Input{Bound{}, Synced{}})
 	return c, 1000
 }
+
+// What another process of the node read must not run here, whether it was in hand there or over; each id is told once.
+func TestSharedIDsAreDoubled(t *testing.T) {
+	newCore := func() *Core {
+		c, err := New(whinrudder.Settings{Cores: 4, Memory: 1e6, Tick: 2, Halt: whinrudder.HaltAbort, Say: whinrudder.SayNothing,
+			Rules: whinrudder.Rules{FallMultiple: 8}, Classes: []whinrudder.Class{{Aim: 1000, Deadline: 2000, Repeat: whinrudder.Unsafe}}}, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Step(1000, []Input{Bound{}, Synced{}})
+		return c
+	}
+	old, next := newCore(), newCore()
+	arrive := func(id string) Input {
+		return Arrived{&Request{ID: id, Came: 1000, Due: 2500, KB: 10, To: sink(id)}}
+	}
+	var told [][]string
+	share := Share{To: func(load whinrudder.Beside, ids []string) {
+		slices.Sort(ids)
+		told = append(told, ids)
+		next.Step(1003, []Input{Beside{load, ids}})
+	}}
+	old.Step(1001, []Input{arrive("a"), arrive("b"), Finished{ID: "a", End: EndOK}})
+	old.Step(1002, []Input{share, arrive("c"), share, share})
+	if diff := cmp.Diff([][]string{{"a", "b"}, {"c"}, nil}, told, cmpopts.EquateEmpty()); diff != "" {
+		t.Error(diff)
+	}
+	for _, id := range []string{"a", "b", "c", "d"} {
+		var outcome []Outcome
+		spawned := false
+		for _, o := range next.Step(1004, []Input{arrive(id)}) {
+			switch o := o.(type) {
+			case Reply:
+				outcome = append(outcome, o.Outcome)
+			case Spawn:
+				spawned = true
+			}
+		}
+		if known := id != "d"; known != slices.Equal(outcome, []Outcome{Doubled}) || known == spawned {
+			t.Error(id, outcome, spawned)
+		}
+	}
+	old.Step(1005, []Input{Share{End: true}, arrive("e")})
+	if len(old.fresh) > 0 {
+		t.Error("ids are kept for nobody")
+	}
+}
--- a/internal/front/protocol.go
+++ b/internal/front/protocol.go
@@ -68,6 +68,16 @@
 // NewSingle returns the protocol of a connection that was accepted at a time.
 func NewSingle(p Parser, now float64) *Single { return &Single{parser: p, since: now} }
 
+// Resume returns the protocol of a connection on which so many answers were given before, the last at a time.
+func Resume(p Parser, served int, since float64) *Single {
+	return &Single{parser: p, since: since, served: served}
+}
+
+// Rests tells whether nothing is in hand, half read or to be written: another process may go on with the connection.
+func (s *Single) Rests() bool {
+	return !s.busy && s.code == "" && len(s.out) == 0 && s.parser.Buffered() == 0
+}
+
 // Feed takes bytes that were read.
 func (s *Single) Feed(now float64, b []byte) {
 	if !s.busy && s.parser.Buffered() == 0 && s.served > 0 {
--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -32,6 +32,9 @@
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil && n.held(l, err) {
+			continue
+		}
 		if err != nil {
 			n.log("accept", "front", name, "error", err)
 			time.Sleep(time.Until(at(now() + 20)))
@@ -229,6 +232,9 @@
 		if k.mailed() {
 			continue // it came before the deadline was set, which may have undone its call
 		}
+		if k.node.moving.Load() && k.moves() {
+			return "moved"
+		}
 		n, err := k.c.Read(buf)
 		if n > 0 {
 			k.proto.Feed(now(), buf[:n])
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -47,6 +47,9 @@
 // partsFor is how long the parts may take to end, in milliseconds.
 const partsFor = 20
 
+// leastConns is the part of the limit of sockets that callers have at least.
+const leastConns = 8
+
 // sockets that the process keeps for itself: its listeners, the links, the log, the runtime's own.
 const ownSockets = 32
 
@@ -70,17 +73,23 @@
 	view    catalog.View
 
 	catalog *catalog.Catalog // of the goroutine of reloads
+	succession
+	moving atomic.Bool // a successor takes new connections, and those at rest
+	leave  leave       // set before the core hears of it
+	away   atomic.Bool // operators have sent the clients away
 
 	folderAt  func(path string) (folder.Folder, error)
 	keeper    *kept.Keeper // nil: no results are kept
 	parts     []Part       // what the operator's file turns on, see parts.go
 	peerAddr  string       // of the peer port
 	listeners []net.Listener
-	addrs     map[string]string // of the fronts
+	sockets   map[string]net.Listener // by front, that of the peer port included; of mu
+	starts    []func()                // of the fronts, which wait until the node serves
+	addrs     map[string]string       // of the fronts
 	conns     connTable
 	idle      atomic.Int64 // milliseconds that a connection may be idle
 	taking    atomic.Bool
-	open      atomic.Int64  // requests in hand
+	inHand    atomic.Int64  // requests in hand
 	quit      chan struct{} // closed by Kill
 	over      chan struct{} // closed once the node has ended
 }
@@ -96,7 +105,7 @@
 		return nil, err
 	}
 	n := &Node{cfg: cfg, op: op, site: front.NewSite(cfg.Settings.Classes, cfg.Settings.Policy), out: newLogger(log, op.JSONLog), core: c,
-		addrs: map[string]string{}, in: make(chan core.Input, 4096), quit: make(chan struct{}), over: make(chan struct{})}
+		addrs: map[string]string{}, sockets: map[string]net.Listener{}, in: make(chan core.Input, 4096), quit: make(chan struct{}), over: make(chan struct{})}
 	n.folderAt, n.catalog = folder.At, catalog.New(cfg.Settings)
 	n.view = n.catalog.View(cfg.Settings.Policy)
 	n.site.Set(n.terms(n.view, kept))
@@ -112,23 +121,33 @@
 
 // mostConns is how many connections of callers there may be.
 func (n *Node) mostConns(cfg settings.Config) int {
+	most := cfg.Sockets
+	n.mu.Lock()
+	if n.beside {
+		most /= 2
+	}
+	n.mu.Unlock()
 	if n.cfg.Admin != "" {
-		return cfg.Sockets - ownSockets - door.MaxConns
+		most -= door.MaxConns
 	}
-	return cfg.Sockets - ownSockets
+	return max(most-ownSockets, cfg.Sockets/leastConns)
 }
 
 func (n *Node) log(word string, pairs ...any) { n.out.event(word, pairs...) }
 
 // limits keeps the process within what the configuration grants it. A sync of a disk holds a thread, and with it, for as
 // long as the runtime does not notice, its place among those that run: a node that keeps results has one place more.
-func limits(cfg settings.Config, op settings.Operator) {
+func limits(cfg settings.Config, op settings.Operator, beside bool) {
 	places := max(1, int(cfg.Cores))
 	if op.Kept.On() {
 		places++
 	}
 	runtime.GOMAXPROCS(places)
-	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
+	memory := int64(cfg.MemoryMB) << 20
+	if beside {
+		memory /= 2
+	}
+	debug.SetMemoryLimit(memory * 3 / 4)
 }
 
 // stopAfter is how long the node has from the notice to leave to the stop.
@@ -143,6 +162,9 @@
 	if err := n.keep(); err != nil {
 		return err
 	}
+	if err := n.succeed(); err != nil {
+		return err
+	}
 	fronts := []struct {
 		name, addr string
 		protocol   func(now float64) front.Protocol
@@ -155,18 +177,29 @@
 		if f.addr == "" {
 			continue
 		}
-		l, err := net.Listen("tcp", f.addr)
+		l, err := n.listen(f.name, f.addr)
 		if err != nil {
 			return err
 		}
 		n.listeners = append(n.listeners, l)
 		n.addrs[f.name] = l.Addr().String()
 		n.log("serve", "name", n.cfg.Name, "front", f.name, "listen", l.Addr(), "pool", n.cfg.Pool)
-		go n.accept(l, f.name, f.protocol)
+		n.starts = append(n.starts, func() { go n.accept(l, f.name, f.protocol) })
+	}
+	if n.taken == nil {
+		n.open()
 	}
 	return n.start()
 }
 
+// open begins to take connections.
+func (n *Node) open() {
+	for _, start := range n.starts {
+		start()
+	}
+	n.starts = nil
+}
+
 // PeerAddr returns the address of the peer port, or an empty one.
 func (n *Node) PeerAddr() string { return n.peerAddr }
 
@@ -181,7 +214,7 @@
 // Run serves until a signal or the end of ctx makes the node leave and all is answered. At each signal of reload it
 // takes over what load then gives, see reload.go.
 func (n *Node) Run(ctx context.Context, stop, reload <-chan os.Signal, load Load) {
-	limits(n.cfg, n.op)
+	limits(n.cfg, n.op, n.taken != nil)
 	go n.link.run()
 	go n.announce()
 	go n.reloads(reload, load)
@@ -190,7 +223,8 @@
 		case <-stop:
 		case <-ctx.Done():
 		}
-		n.in <- core.Leave{StopAt: now() + n.stopAfter()}
+		n.leave = n.leaveNow()
+		n.in <- core.Leave{StopAt: now() + n.leave.ms, Succeeded: n.leave.succeeded}
 	}()
 	n.loop()
 	close(n.over)
@@ -211,7 +245,7 @@
 }
 
 // InHand tells how many requests are owed an answer.
-func (n *Node) InHand() int { return int(n.open.Load()) }
+func (n *Node) InHand() int { return int(n.inHand.Load()) }
 
 // Kill ends the node at once, as a kill of its process would.
 func (n *Node) Kill() { close(n.quit) }
@@ -260,7 +294,7 @@
 			}
 			n.carry(o)
 		}
-		n.open.Store(int64(n.core.Open()))
+		n.inHand.Store(int64(n.core.Open()))
 		n.figures.Current.Store(int64(n.core.Open()))
 		n.link.flush()
 	}
@@ -278,13 +312,14 @@
 		n.conns.wakeAll()
 	case core.Ready:
 		n.log("ready", "cold", o.Cold)
+		n.open()
 		n.serving.Store(true)
 		n.parted(func(p Part) { p.Ready(o.Cold) })
 	case core.Leaving:
 		n.taking.Store(false)
 		n.reports.now()
-		n.log("drain", "stop_ms", n.stopAfter())
-		by := now() + n.stopAfter()/2
+		n.log("drain", "stop_ms", n.leave.ms, "succeeded", n.leave.succeeded)
+		by := now() + n.leave.ms/2
 		n.parted(func(p Part) { p.Leaving(by) })
 	case core.Closing:
 		n.conns.leaveAll()
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"time"
 
 	"github.com/valyala/fastjson"
@@ -19,12 +20,16 @@
 type Part interface {
 	Ready(cold bool)    // the worker pool is up
 	Reload()            // SIGHUP came and the new file holds
+	Succeeded(on bool)  // another process of the node takes over, or is lost
 	Leaving(by float64) // the node drains; what others know of it should be gone by then
 	Ended(by float64)   // all is answered
 }
 
 // start starts the parts that the operator's file turns on.
 func (n *Node) start() error {
+	if n.up != nil {
+		n.parts = append(n.parts, n.up)
+	}
 	if n.cfg.Admin != "" {
 		d, err := door.Open(n.cfg.Admin, operators{n}, n.log)
 		if err != nil {
@@ -40,6 +45,7 @@
 		if len(n.op.Ensemble) > 0 {
 			h.Find = n.findDonors
 		}
+		h.Listen = func(addr string) (net.Listener, error) { return n.listen("peer", addr) }
 		w, err := warmup.Start(h, n.op.Peer)
 		if err != nil {
 			return err
@@ -106,6 +112,7 @@
 type learning struct{ *warmup.WarmUp }
 
 func (l learning) Leaving(float64) { l.WarmUp.Leaving() }
+func (learning) Succeeded(bool)    {}
 
 // membership is the node's znode.
 type membership struct {
@@ -122,6 +129,12 @@
 
 func (m *membership) Reload() {}
 
+func (m *membership) Succeeded(on bool) {
+	if m.znode != nil {
+		m.znode.Yield(on)
+	}
+}
+
 func (m *membership) Leaving(by float64) {
 	if m.znode != nil {
 		m.znode.Leave(by)
@@ -135,6 +148,7 @@
 
 func (opened) Ready(bool)         {}
 func (opened) Reload()            {}
+func (opened) Succeeded(bool)     {}
 func (opened) Leaving(float64)    {}
 func (o opened) Ended(by float64) { o.Close(by) }
 
@@ -150,7 +164,7 @@
 	late := time.NewTimer(time.Until(at(by)))
 	defer late.Stop()
 	select {
-	case o.in <- core.Drained{On: on, Done: func() { close(done) }}:
+	case o.in <- core.Drained{On: on, Done: func() { o.away.Store(on); close(done) }}:
 	case <-o.over:
 		return false
 	case <-late.C:
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -64,7 +64,10 @@
 	n.stopMs = cfg.StopMs
 	n.mu.Unlock()
 	n.retune(view, cfg.Settings.Gauges)
-	limits(cfg, n.op)
+	n.mu.Lock()
+	beside := n.beside
+	n.mu.Unlock()
+	limits(cfg, n.op, beside)
 	n.conns.limit(n.mostConns(cfg))
 	n.link.move(cfg.Pool)
 	n.reports.move(cfg.Announce)
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -50,7 +50,7 @@
 			c, _ = net.Dial("udp", addr)
 		}
 		next := now() + announce.Every
-		if c != nil {
+		if c != nil && !n.moving.Load() { // a successor reports under the same name
 			c.SetWriteDeadline(at(next))
 			// A report that is refused while the service is down is of no account: the next one follows.
 			c.Write(announce.Report(n.cfg.Name, n.taking.Load()))
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -132,6 +132,15 @@
 	})
 )
 
+// AppendValue appends a frame whose payload is a plain value in CBOR, for protocols that share the frames.
+func AppendValue(b []byte, k Kind, v any) []byte { return frame(b, k, v) }
+
+// Value decodes the payload of a frame into v.
+func Value(f Frame, v any) *Fault { return read(f, v) }
+
+// NewFault returns a fault with a code.
+func NewFault(code, format string, args ...any) *Fault { return fault(code, format, args...) }
+
 func frame(b []byte, k Kind, v any) []byte {
 	payload, err := encoding().Marshal(v)
 	if err != nil {
--- a/internal/rehearse/player.go
+++ b/internal/rehearse/player.go
@@ -30,6 +30,11 @@
 //	reload faulty              the node reads a file that is none
 //	reload lacking KEY         the node reads a file that lacks a key
 //	reloaded CODE [kept=..]    what the node logged of it
+//	upgrade                    another process is started beside the node, with the same addresses and a worker pool of its
+//	                           own; the steps that follow are of that one
+//	former STEP                a step of the process that was there before
+//	fall                       the present process is killed, and the former one is the present one again
+//	handover SIDE CODE         the next line of the log that tells of a handover
 //	restart                    the node is killed, and another is started on what it left
 //	resolve KEY HOW [RESULT] [=> WHY]   an operator's word on a kept operation: finished, failed or not-run; WHY it fails
 //	leave                      the notice to drain
@@ -89,29 +94,36 @@
 type player struct {
 	protocol string
 	opts     map[string]string
-	node     *node.Node
-	stop     chan os.Signal
-	hup      chan os.Signal
-	mu       sync.Mutex
-	file     string // the configuration, as the node would read it now
-	op       settings.Operator
-	folder   string // of kept results
-	ended    chan struct{}
-	pool     *poolStandIn
-	reports  *reportStandIn
-	zk       *ensemble
-	callers  map[string]*caller
-	peers    peers
-	log      *logBook
+	process
+	former  *process // the process that the present one is to succeed
+	mu      sync.Mutex
+	file    string // the configuration, as the node would read it now
+	folder  string // of kept results
+	shared  string // folder of processes that succeed each other
+	reports *reportStandIn
+	zk      *ensemble
+	callers map[string]*caller
+	peers   peers
+	log     *logBook
+}
+
+// process is one process of the node, with its worker pool.
+type process struct {
+	node  *node.Node
+	op    settings.Operator
+	stop  chan os.Signal
+	hup   chan os.Signal
+	ended chan struct{}
+	pool  *poolStandIn
 }
 
 func options() map[string]string {
 	return map[string]string{"cores": "2", "aim_ms": "6000", "deadline_ms": "9000", "stop_ms": "3000",
 		"sockets": "128", "fresh_ms": "0", "keepalive_ms": "30000", "deep": "true", "take_ms": "5000", "kept": "0",
-		"admin": "", "classes": "status-lookup,rate-quote,payout-book"}
+		"admin": "", "listen": "127.0.0.1:0", "upgrade": "", "classes": "status-lookup,rate-quote,payout-book"}
 }
 
-const config = `{"name":"r1","listen":"127.0.0.1:0","admin":"$admin","pool":"%s","announce":"%s","seed":"8c1f30d27a5be964",
+const config = `{"name":"r1","listen":"$listen","admin":"$admin","pool":"%s","announce":"%s","seed":"8c1f30d27a5be964",
 "stop_ms":$stop_ms,"limits":{"cores":1.0,"memory_mb":192,"sockets":$sockets},
 "settings":{"allowed":{"max_retry_after_ms":1000,"retry_after":true},"servers":3,"tick_ms":2,"worth_by":"request",
 "goal":{"whole":0.6,"worst_class":0.2,"worst_window":0.2},"rules":{"cold_from":0.2,"drain_grace_ms":2000,
@@ -179,10 +191,55 @@
 		keys, _ := strconv.Atoi(n)
 		op.Kept = settings.Kept{Dir: p.folder, Classes: []string{"payout-book"}, Keys: keys, DiskMB: 64, SegmentMB: 1, AgeMs: 3600e3, DoubtMs: 7200e3}
 	}
+	if p.opts["upgrade"] != "" {
+		if p.shared, err = os.MkdirTemp("", "shared"); err != nil {
+			return err
+		}
+		op.UpgradeDir = p.shared
+	}
 	p.op = op
 	return p.launch()
 }
 
+// upgrade starts another process beside the present one, with the same addresses and a worker pool of its own.
+func (p *player) upgrade() (err error) {
+	if p.former != nil {
+		p.former.pool.close()
+	}
+	old := p.process
+	p.former = &old
+	if p.pool, err = newPoolStandIn(); err != nil {
+		return err
+	}
+	p.opts["listen"] = old.node.Addr("http")
+	p.op.UWSGI, p.op.H2C = old.node.Addr("uwsgi"), old.node.Addr("h2c")
+	p.write()
+	return p.launch()
+}
+
+// asFormer carries out a line on the process that the present one is to succeed.
+func (p *player) asFormer(line string) (string, error) {
+	if p.former == nil {
+		return "", fmt.Errorf("there is no former process")
+	}
+	p.process, *p.former = *p.former, p.process
+	defer func() { p.process, *p.former = *p.former, p.process }()
+	out, err := p.step(line)
+	return "former " + out, err
+}
+
+// fall kills the present process, as a crash would. The former one is the present one again.
+func (p *player) fall() error {
+	if p.former == nil {
+		return fmt.Errorf("there is no former process")
+	}
+	p.node.Kill()
+	<-p.ended
+	p.pool.close()
+	p.process, p.former = *p.former, nil
+	return nil
+}
+
 // launch starts a node.
 func (p *player) launch() error {
 	cfg, err := settings.ParseConfig([]byte(p.file))
@@ -344,6 +401,14 @@
 			return line, nil
 		}
 		return "heard " + name + " " + c.h2.heardOther(), nil
+	case "former":
+		return p.asFormer(rest)
+	case "upgrade":
+		return line, p.upgrade()
+	case "fall":
+		return line, p.fall()
+	case "handover":
+		return "handover " + p.log.handover(), nil
 	case "held":
 		for late := time.Now().Add(patience); fmt.Sprint(p.node.InHand()) != rest && time.Now().Before(late); {
 			time.Sleep(time.Millisecond)
@@ -416,14 +481,23 @@
 }
 
 func (p *player) close() {
-	if p.stop != nil {
+	for _, o := range []*process{&p.process, p.former} {
+		if o == nil || o.stop == nil {
+			continue
+		}
 		select {
-		case <-p.ended:
+		case <-o.ended:
 		default:
-			p.node.Kill()
-			<-p.ended
+			o.node.Kill()
+			<-o.ended
 		}
 	}
+	if p.former != nil {
+		p.former.pool.close()
+	}
+	if p.shared != "" {
+		os.RemoveAll(p.shared)
+	}
 	for _, c := range p.callers {
 		c.c.Close()
 	}
@@ -444,12 +518,13 @@
 
 // logBook takes the node's log and finds the lines that connections left.
 type logBook struct {
-	mu    sync.Mutex
-	codes map[string][]string
-	loads []string // of the reloads
-	more  chan struct{}
+	mu     sync.Mutex
+	codes  map[string][]string
+	loads  []string // of the reloads
+	handed []string // of handovers
+	more   chan struct{}
 
-	streams map[string][]string // by peer: the codes of streams that could not be read
+	streams map[string][]string // by peer: the codes of streams that could not be read, and of moves to another process
 	taken   map[string][]string // by donor: the codes of the connections to it
 	over    []string            // how many gave, of each round
 	priors  []string
@@ -478,6 +553,10 @@
 		b.taken[f["peer"]] = append(b.taken[f["peer"]], f["code"])
 	case word == "peer" && f["code"] == "over":
 		b.over = append(b.over, f["donors"])
+	case word == "handover" && f["code"] != "end": // of the own end
+		b.handed = append(b.handed, f["side"]+" "+f["code"])
+	case word == "conn" && f["code"] == "moved": // the connection goes on at another process
+		b.streams[peer] = append(b.streams[peer], f["code"])
 	case word == "reload":
 		load := f["code"]
 		if f["kept"] != "" {
@@ -512,6 +591,9 @@
 // reload waits for the line of the next reload.
 func (b *logBook) reload() string { return b.wait(func() string { return b.shift(&b.loads) }) }
 
+// handover waits for the next line of a handover.
+func (b *logBook) handover() string { return b.wait(func() string { return b.shift(&b.handed) }) }
+
 // shift takes the first of a list, if there is one. It is called by wait.
 func (b *logBook) shift(list *[]string) (text string) {
 	if len(*list) > 0 {
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -19,7 +19,9 @@
 	SessionMs float64  // how long the ensemble keeps the znode of a silent node
 	Peer      Peer
 	Kept      Kept
-	JSONLog   bool // the log is JSON, one object a line
+	// UpgradeDir is a folder that a running process and its successor share; empty: no handover.
+	UpgradeDir string
+	JSONLog    bool // the log is JSON, one object a line
 }
 
 // Peer says how a node learns from others and gives to them.
@@ -61,7 +63,7 @@
 	}
 	r := reader{what: "operator"}
 	root := r.object("operator", v)
-	r.only(root, "", "uwsgi", "h2c", "zookeeper", "peer", "kept", "log")
+	r.only(root, "", "uwsgi", "h2c", "zookeeper", "peer", "kept", "log", "upgrade")
 	var o Operator
 	for _, f := range []struct {
 		name string
@@ -97,6 +99,12 @@
 			r.fault("zookeeper.session_ms is %v, want 1000 to 60000", o.SessionMs)
 		}
 	}
+	if u := r.object("upgrade", root.Get("upgrade")); u != nil {
+		r.only(u, "upgrade.", "dir")
+		if o.UpgradeDir = r.text(u, "dir"); o.UpgradeDir == "" {
+			r.fault("upgrade.dir is empty")
+		}
+	}
 	if k := r.object("kept", root.Get("kept")); k != nil {
 		o.Kept = r.kept(k)
 	}
@@ -229,6 +237,11 @@
 	if o.Kept.On() {
 		root.Set("kept", o.Kept.print(&a, list))
 	}
+	if o.UpgradeDir != "" {
+		u := a.NewObject()
+		u.Set("dir", a.NewString(o.UpgradeDir))
+		root.Set("upgrade", u)
+	}
 	if o.Peer.On() {
 		root.Set("peer", o.Peer.print(&a, list))
 	}
--- /dev/null
+++ b/internal/upgrade/giving.go
@@ -0,0 +1,135 @@
+package upgrade
+
+import (
+	"errors"
+	"io"
+	"net"
+
+	"whinrudder/internal/core"
+	"whinrudder/internal/handover"
+	"whinrudder/internal/peer"
+)
+
+// giving is the connection to a successor.
+type giving struct {
+	u      *Upgrade
+	pipe   *pipe
+	serves bool // of u.mu
+
+	machine *handover.Giver // of pipe.mu
+}
+
+// out writes what the machine wants.
+func (g *giving) out() error {
+	g.pipe.mu.Lock()
+	defer g.pipe.mu.Unlock()
+	return g.pipe.write(g.machine.Out(), now()+writeFor, g.u.h.Listeners)
+}
+
+// refuse ends a connection that is not taken.
+func (g *giving) refuse(code string) {
+	g.pipe.write([]handover.Message{{Bytes: peer.AppendRefuse(nil, code)}}, now()+writeFor, nil)
+	g.pipe.close()
+	g.u.h.Log("handover", "side", "give", "code", code)
+}
+
+// move hands a connection over.
+func (g *giving) move(c *net.TCPConn, how handover.Conn) bool {
+	g.pipe.mu.Lock()
+	defer g.pipe.mu.Unlock()
+	if !g.machine.Conn(how, c) {
+		return false
+	}
+	if err := g.pipe.write(g.machine.Out(), now()+writeFor, g.u.h.Listeners); err != nil {
+		g.pipe.close() // a frame may have gone in part: nothing more can be said
+		return false
+	}
+	return true
+}
+
+func (g *giving) run() {
+	defer g.u.wait.Done()
+	code, text := g.talk()
+	g.pipe.close()
+	g.pipe.drop()
+	u := g.u
+	u.mu.Lock()
+	served, over := g.serves, u.ended || u.leaves
+	g.serves, u.to = false, nil
+	u.mu.Unlock()
+	u.h.Log("handover", "side", "give", "code", code, "error", text)
+	u.h.Tell(core.Share{End: true})
+	u.h.Tell(core.Beside{})
+	if served && !over { // the successor is lost: this process goes on as before, and the next one finds it
+		u.h.Succeeded(false)
+		u.Offer()
+	}
+}
+
+// talk speaks with the successor until the end. It returns a code of the end and, for a fault, what it was.
+func (g *giving) talk() (code, text string) {
+	share := make(shares, 1)
+	told := false // what is in hand is told, from the welcome on
+	for tick := now(); ; {
+		if told && now() >= tick {
+			tick = now() + handover.LoadEvery
+			if b, ok := share.ask(g.u.h.Tell); ok {
+				g.pipe.mu.Lock()
+				g.machine.Load(b.Beside, b.IDs)
+				g.pipe.mu.Unlock()
+			}
+		}
+		if err := g.out(); err != nil {
+			return endOf(err)
+		}
+		by := g.machine.Wake()
+		if told {
+			by = min(by, tick)
+		}
+		b, err := g.pipe.read(by)
+		if err != nil {
+			return endOf(err)
+		}
+		g.pipe.mu.Lock()
+		events, bad := g.machine.Feed(now(), b)
+		if bad == nil {
+			bad = g.machine.Due(now())
+		}
+		g.pipe.mu.Unlock()
+		for _, e := range events {
+			switch e := e.(type) {
+			case handover.Asked:
+				r := g.u.report()
+				g.pipe.mu.Lock()
+				g.machine.Give(now(), g.u.h.Away(), r)
+				g.pipe.mu.Unlock()
+				told = true
+			case handover.Serving:
+				g.u.mu.Lock()
+				g.serves = true
+				g.u.mu.Unlock()
+				g.u.h.Log("handover", "side", "give", "code", "succeeded")
+				g.u.h.Succeeded(true)
+			case handover.Loaded:
+				g.u.h.Tell(core.Beside{Beside: e.Beside, IDs: e.IDs})
+			}
+		}
+		if bad != nil {
+			return bad.Code, bad.Text
+		}
+	}
+}
+
+// endOf names the end of a pipe.
+func endOf(err error) (code, text string) {
+	var bad *peer.Fault
+	switch {
+	case errors.As(err, &bad):
+		return bad.Code, bad.Text
+	case errors.Is(err, net.ErrClosed):
+		return "end", ""
+	case errors.Is(err, io.EOF):
+		return "lost", "" // it has ended; one that leaves bytes unread resets
+	}
+	return "lost", err.Error()
+}
--- /dev/null
+++ b/internal/upgrade/taking.go
@@ -0,0 +1,193 @@
+package upgrade
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"net"
+	"syscall"
+
+	"whinrudder/internal/core"
+	"whinrudder/internal/handover"
+	"whinrudder/internal/knowledge"
+)
+
+// taking is the connection to the process that this one succeeds.
+type taking struct {
+	u       *Upgrade
+	pipe    *pipe
+	machine *handover.Taker // of pipe.mu
+	over    bool            // of u.mu
+}
+
+// Taken is what a running process handed over.
+type Taken struct {
+	Listeners map[string]*net.TCPListener // by front
+	Away      bool                        // operators have sent the clients away
+	Report    knowledge.Report
+}
+
+// Take asks the running process of this node, if there is one, for its listening sockets and what it knows. Without one
+// it returns nil. An error means that one is there and did not hand over.
+func (u *Upgrade) Take() (*Taken, error) {
+	c, err := dialAt(u.path(), now()+dialFor)
+	if errors.Is(err, fs.ErrNotExist) || errors.Is(err, syscall.ECONNREFUSED) {
+		return nil, nil // nobody was here, or what was here has ended
+	}
+	if err != nil {
+		return nil, fmt.Errorf("handover: %w", err)
+	}
+	t := &taking{u: u, pipe: newPipe(c), machine: handover.NewTaker(u.h.Name, u.h.Addrs(), now())}
+	taken := &Taken{Listeners: map[string]*net.TCPListener{}}
+	by := now() + takeFor
+	for !t.machine.Whole() {
+		err := t.pipe.write(t.machine.Out(), now()+writeFor, nil)
+		if err == nil {
+			err = t.step(min(by, t.machine.Wake()), func(e handover.Event) error { return t.first(e, taken) })
+		}
+		if err == nil && now() >= by {
+			err = errors.New("the running process did not hand over in time")
+		}
+		if err != nil {
+			t.pipe.close()
+			t.pipe.drop()
+			for _, l := range taken.Listeners {
+				l.Close()
+			}
+			u.h.Log("handover", "side", "take", "code", "failed", "error", err)
+			return nil, fmt.Errorf("handover: %w", err)
+		}
+	}
+	u.from = t
+	u.h.Log("handover", "side", "take", "code", "taken", "fronts", len(taken.Listeners), "runs", taken.Report.Runs())
+	u.wait.Add(1)
+	go t.run()
+	return taken, nil
+}
+
+// step reads once and hands on what was said.
+func (t *taking) step(by float64, each func(handover.Event) error) error {
+	b, err := t.pipe.read(by)
+	if err != nil {
+		return err
+	}
+	t.pipe.mu.Lock()
+	events, bad := t.machine.Feed(now(), b)
+	if bad == nil {
+		bad = t.machine.Due(now())
+	}
+	t.pipe.mu.Unlock()
+	for _, e := range events {
+		if err := each(e); err != nil {
+			return err
+		}
+	}
+	if bad != nil {
+		return bad
+	}
+	return nil
+}
+
+// first takes what comes before this process serves.
+func (t *taking) first(e handover.Event, to *Taken) error {
+	switch e := e.(type) {
+	case handover.Offered:
+		to.Away = e.Away
+		for _, name := range e.Fronts {
+			f, err := t.pipe.next()
+			if err != nil {
+				return err
+			}
+			l, err := net.FileListener(f)
+			f.Close()
+			if err != nil {
+				return err
+			}
+			tcp, ok := l.(*net.TCPListener)
+			if !ok {
+				l.Close()
+				return fmt.Errorf("the socket of %s is no TCP listener", name)
+			}
+			to.Listeners[name] = tcp
+		}
+	case handover.Learned:
+		to.Report = e.Report
+	case handover.Loaded:
+		t.loaded(e)
+	}
+	return nil
+}
+
+func (t *taking) loaded(e handover.Loaded) {
+	t.u.h.Tell(core.Beside{Beside: e.Beside, IDs: e.IDs})
+}
+
+// run goes on until the other process has ended.
+func (t *taking) run() {
+	defer t.u.wait.Done()
+	code, text := t.talk()
+	t.pipe.close()
+	t.pipe.drop()
+	t.u.mu.Lock()
+	t.over = true
+	t.u.mu.Unlock()
+	t.u.h.Log("handover", "side", "take", "code", code, "error", text)
+	t.u.h.Tell(core.Share{End: true})
+	t.u.h.Tell(core.Beside{})
+	t.u.h.Alone()
+}
+
+func (t *taking) talk() (code, text string) {
+	share := make(shares, 1)
+	for tick := now(); ; {
+		if now() >= tick {
+			tick = now() + handover.LoadEvery
+			if b, ok := share.ask(t.u.h.Tell); ok {
+				t.pipe.mu.Lock()
+				t.machine.Load(b.Beside, b.IDs)
+				t.pipe.mu.Unlock()
+			}
+		}
+		t.pipe.mu.Lock()
+		err := t.pipe.write(t.machine.Out(), now()+writeFor, nil)
+		t.pipe.mu.Unlock()
+		if err == nil {
+			err = t.step(min(tick, t.machine.Wake()), t.next)
+		}
+		if err != nil {
+			return endOf(err)
+		}
+	}
+}
+
+// next takes what comes once all that is needed to serve is there.
+func (t *taking) next(e handover.Event) error {
+	switch e := e.(type) {
+	case handover.Loaded:
+		t.loaded(e)
+	case handover.Came:
+		f, err := t.pipe.next()
+		if err != nil {
+			return err
+		}
+		c, err := net.FileConn(f)
+		f.Close()
+		if err != nil {
+			return nil // it broke on the way
+		}
+		if !t.u.h.Moved(c, e.Conn) {
+			c.Close()
+		}
+	}
+	return nil
+}
+
+// serve tells the other process that this one serves.
+func (t *taking) serve() {
+	t.pipe.mu.Lock()
+	defer t.pipe.mu.Unlock()
+	t.machine.Serve()
+	if err := t.pipe.write(t.machine.Out(), now()+writeFor, nil); err != nil && !errors.Is(err, net.ErrClosed) {
+		t.pipe.close()
+	}
+}
--- /dev/null
+++ b/internal/upgrade/upgrade_test.go
@@ -0,0 +1,223 @@
+package upgrade
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/goleak"
+
+	"whinrudder"
+	"whinrudder/internal/core"
+	"whinrudder/internal/handover"
+	"whinrudder/internal/peer"
+)
+
+// toy is a node of which only its listener is real.
+type toy struct {
+	u     *Upgrade
+	l     *net.TCPListener
+	lines chan string
+	mu    sync.Mutex
+	ids   []string // that the other side told
+}
+
+func (n *toy) tell(i core.Input) {
+	switch i := i.(type) {
+	case core.Share:
+		if i.To != nil {
+			i.To(whinrudder.Beside{Live: 1}, []string{"00000000000000a1"})
+		}
+	case core.Ask:
+		i.To(whinrudder.Knowledge{}, true)
+	case core.Beside:
+		n.mu.Lock()
+		n.ids = append(n.ids, i.IDs...)
+		n.mu.Unlock()
+	}
+}
+
+func newToy(t *testing.T, dir string, l *net.TCPListener, addr string) *toy {
+	n := &toy{l: l, lines: make(chan string, 64)}
+	n.u = New(Host{Name: "n1", Dir: dir, Tell: n.tell, Addrs: func() map[string]string { return map[string]string{"http": addr} },
+		Log: func(word string, pairs ...any) {
+			if word == "handover" {
+				n.lines <- fmt.Sprint(pairs[1], " ", pairs[3])
+			}
+		},
+		Terms:     func() ([]string, whinrudder.Settings) { return []string{"a"}, whinrudder.Settings{Cores: 2} },
+		Listeners: func() map[string]*net.TCPListener { return map[string]*net.TCPListener{"http": n.l} },
+		Away:      func() bool { return true }, Alone: func() { n.lines <- "alone" },
+		Succeeded: func(on bool) { n.lines <- fmt.Sprint("succeeded ", on) },
+		Moved: func(c net.Conn, how handover.Conn) bool {
+			n.lines <- fmt.Sprint("moved ", how.Served)
+			fmt.Fprint(c, "from the successor")
+			return c.Close() == nil
+		}})
+	return n
+}
+
+func (n *toy) next(t *testing.T) string {
+	t.Helper()
+	select {
+	case l := <-n.lines:
+		return l
+	case <-time.After(10 * time.Second):
+		return "nothing"
+	}
+}
+
+func listen(t *testing.T) *net.TCPListener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l.(*net.TCPListener)
+}
+
+// The listening socket and a connection pass over, in a folder whose path is longer than that of a socket may be, and where
+// a process that died left its socket; a second successor is refused; the end of one is the start of the next.
+func TestTakeOver(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	dir := filepath.Join(t.TempDir(), strings.Repeat("long/", 30))
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	l := listen(t)
+	addr := l.Addr().String()
+	old := newToy(t, dir, l, addr)
+	if got, err := old.u.Take(); got != nil || err != nil {
+		t.Fatal(got, err)
+	}
+	old.u.Offer()
+	old.u.l.Close() // as a crash leaves it
+	if got, err := newToy(t, dir, nil, addr).u.Take(); got != nil || err != nil {
+		t.Fatal(got, err)
+	}
+	old.u.Ready(true)
+	client, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	c, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	next := newToy(t, dir, nil, addr)
+	var got *Taken
+	for by := time.Now().Add(10 * time.Second); got == nil && time.Now().Before(by); { // Ready offers beside
+		if got, err = next.u.Take(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got == nil || !got.Away || got.Listeners["http"].Addr().String() != addr || got.Report.Node != "n1" {
+		t.Fatalf("%+v", got)
+	}
+	if _, err := newToy(t, dir, nil, addr).u.Take(); err == nil || !strings.Contains(err.Error(), "refused") {
+		t.Fatal("a second successor:", err)
+	}
+	if old.u.Move(c, handover.Conn{Front: "http"}) {
+		t.Fatal("a connection moved before the successor serves")
+	}
+	next.u.Ready(true)
+	lines := []string{old.next(t), old.next(t), old.next(t)}
+	if diff := cmp.Diff([]string{"give taken", "give succeeded", "succeeded true"}, lines); diff != "" {
+		t.Fatal(diff)
+	}
+	if !old.u.Move(c, handover.Conn{Front: "http", Served: 7}) {
+		t.Fatal("the connection did not move")
+	}
+	c.Close()
+	l.Close()
+	lines = []string{next.next(t), next.next(t)}
+	if diff := cmp.Diff([]string{"take taken", "moved 7"}, lines); diff != "" {
+		t.Fatal(diff)
+	}
+	buf := make([]byte, 64)
+	if n, _ := client.Read(buf); string(buf[:n]) != "from the successor" {
+		t.Errorf("the client reads %q", buf[:n])
+	}
+	next.mu.Lock()
+	if len(next.ids) == 0 {
+		t.Error("no ids were told")
+	}
+	next.mu.Unlock()
+	// The socket outlives the listener of the process that opened it.
+	go func() {
+		if c, err := net.Dial("tcp", addr); err == nil {
+			c.Close()
+		}
+	}()
+	if c, err := got.Listeners["http"].Accept(); err != nil {
+		t.Error(err)
+	} else {
+		c.Close()
+	}
+	old.u.Ended(now() + 5000)
+	if a, b := next.next(t), next.next(t); a != "take lost" || b != "alone" {
+		t.Error(a, b)
+	}
+	got.Listeners["http"].Close()
+	next.u.Ended(now() + 5000)
+}
+
+// Whatever comes to the socket, the running process goes on as it was, and can be succeeded.
+func TestHostileSuccessors(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	dir := t.TempDir()
+	l := listen(t)
+	defer l.Close()
+	n := newToy(t, dir, l, l.Addr().String())
+	n.u.Offer()
+	for name, say := range map[string]func(c *net.UnixConn){
+		"bad-magic": func(c *net.UnixConn) { c.Write([]byte("GET / HTTP/1.1\r\n\r\n")) },
+		"lost":      func(c *net.UnixConn) {},
+		"late":      func(c *net.UnixConn) { time.Sleep(1100 * time.Millisecond) },
+		"bad-order": func(c *net.UnixConn) { c.Write(peer.AppendFrame(nil, peer.Frame{Kind: peer.KindTake})) },
+		"other-node": func(c *net.UnixConn) {
+			for _, m := range handover.NewTaker("n9", nil, now()).Out() {
+				c.Write(m.Bytes)
+			}
+		},
+	} {
+		c, err := dialAt(n.u.path(), now()+1000)
+		if err != nil {
+			t.Fatal(err)
+		}
+		say(c)
+		if name != "late" {
+			// descriptors that no frame names are closed with the connection
+			c.WriteMsgUnix([]byte{0}, syscall.UnixRights(0, 1), nil)
+		}
+		c.CloseWrite()
+		if got := n.next(t); got != "give "+name && !(name == "lost" && got == "give bad-magic") {
+			t.Errorf("%s: %s", name, got)
+		}
+		c.Close()
+	}
+	n.u.Ended(now() + 5000)
+}
+
+// A running process that hangs must not hold up its successor for long: that one says so.
+func TestHangingPredecessor(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	dir := t.TempDir()
+	n := newToy(t, dir, nil, "127.0.0.1:1")
+	l, err := listenAt(n.u.path())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	begun := now()
+	if _, err := n.u.Take(); err == nil || now()-begun > takeFor+writeFor+dialFor+1000 {
+		t.Errorf("%v after %v ms", err, now()-begun)
+	}
+}
--- a/internal/warmup/warmup.go
+++ b/internal/warmup/warmup.go
@@ -42,8 +42,9 @@
 	Seed   uint64
 	Tell   func(core.Input) // hands something to the core; must not be called from the core
 	Log    eventlog.Log
-	InHand func() int                         // requests that are owed an answer
-	Find   func(by float64) ([]string, error) // addresses of donors among the znodes; nil without an ensemble
+	InHand func() int                              // requests that are owed an answer
+	Listen func(addr string) (net.Listener, error) // of the peer port; nil: the usual
+	Find   func(by float64) ([]string, error)      // addresses of donors among the znodes; nil without an ensemble
 }
 
 // WarmUp is this part of one node. Create it with Start.
@@ -85,7 +86,11 @@
 		w.ring = ring
 	}
 	if cfg.Listen != "" {
-		l, err := net.Listen("tcp", cfg.Listen)
+		listen := h.Listen
+		if listen == nil {
+			listen = func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+		}
+		l, err := listen(cfg.Listen)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/zk/zk.go
+++ b/internal/zk/zk.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-zookeeper/zk"
@@ -26,6 +27,8 @@
 	log   eventlog.Log
 	nudge chan struct{}
 	leave chan float64
+
+	yielded atomic.Bool // another process of the node has the znode
 }
 
 // Register makes the znode parent/name with the data, and again after each expiry of its session or if somebody
@@ -54,6 +57,22 @@
 	}
 }
 
+// Yield leaves the znode to another process of the same node, or takes it back. The session goes on: it keeps no znode
+// that the other has made its own.
+func (r *Registration) Yield(on bool) {
+	r.yielded.Store(on)
+	if !on {
+		r.poke()
+	}
+}
+
+func (r *Registration) poke() {
+	select {
+	case r.nudge <- struct{}{}:
+	default:
+	}
+}
+
 // quiet drops the library's remarks: what matters is told by events.
 type quiet struct{}
 
@@ -67,10 +86,7 @@
 	case e.Type == zk.EventSession && e.State == zk.StateDisconnected:
 		r.log("zk", "path", r.path, "code", "disconnected")
 	case e.Type == zk.EventSession && e.State == zk.StateHasSession, e.Type == zk.EventNodeDeleted:
-		select {
-		case r.nudge <- struct{}{}:
-		default:
-		}
+		r.poke()
 	}
 }
 
@@ -79,6 +95,11 @@
 	for {
 		select {
 		case by := <-r.leave:
+			if r.yielded.Load() {
+				r.log("zk", "path", r.path, "code", "yielded")
+				r.conn.Close()
+				return
+			}
 			time.AfterFunc(time.Until(time.UnixMicro(int64(by*1e3))), r.conn.Close)
 			err := r.conn.Delete(r.path, -1)
 			r.log("zk", "path", r.path, "code", "removed", "error", text(err))
@@ -87,6 +108,9 @@
 		case <-r.nudge:
 		case <-retry.C:
 		}
+		if r.yielded.Load() {
+			continue
+		}
 		if err := r.ensure(); err != nil {
 			r.log("zk", "path", r.path, "code", "failed", "error", err)
 			retry.Reset(again * time.Millisecond)
