Find why round robin led with stale lists: leaving nodes were left alone too long

At fault: wordFor in internal/client/members, for which a node's word that it leaves was believed. A node that drains runs what comes in its first 2 s, and its successor in the same place is named by no list yet; both were left alone for 5 s.

--- a/internal/client/members/members.go
+++ b/internal/client/members/members.go
@@ -23,6 +23,10 @@
 	MaxNodes = 4096
 	// wordFor is how long a node's own word goes before a list that is older than it.
 	wordFor = 5000.0
+	// leavesFor is how long a node's word that it leaves is believed. A node that drains still runs what comes in its first
+	// seconds, says with each answer that it has no room, and has a successor in its place that no list names yet: who left it
+	// alone for longer would miss both.
+	leavesFor = 300.0
 	// emptyFor is how long an empty list is not believed: an ensemble that lost its data is likelier than a fleet that left.
 	emptyFor = 60e3
 	// shrunk is the share of the fleet that one list may take away at once; with more the others are kept as a last resort
@@ -176,7 +180,7 @@
 
 func (m *Members) state(now float64, e *Member) State {
 	// The latest word counts: what it said itself before what an older list says.
-	if e.leaving > e.word && e.leaving > e.since && now-e.leaving < wordFor {
+	if e.leaving > e.word && e.leaving > e.since && now-e.leaving < leavesFor {
 		return Draining
 	}
 	if e.listed && !e.Draining {
--- a/internal/emu/experiment/day.go
+++ b/internal/emu/experiment/day.go
@@ -154,8 +154,13 @@
 	t.At, t.For = 1000*r.figure(o, path, "at", 0, 0, maxSeconds), 1000*r.figure(o, path, "for", 10, 0.001, maxSeconds)
 	t.Share = r.figure(o, path, "share", 1, 0, 1)
 	low, high := 0.0, 1000.0
-	if t.Kind == fleet.Clock {
+	switch t.Kind {
+	case fleet.Clock:
 		low, high = -60e3, 60e3
+	case fleet.Absurd:
+		low, high = 1, 1e12
+	case fleet.Flap: // each turn is an event of its own
+		low = 0.1
 	}
 	t.Factor = r.figure(o, path, "factor", 1, low, high)
 	if t.Factor == 0 && (t.Kind == fleet.Burst || t.Kind == fleet.Crawl) {
--- a/internal/emu/fleet/day.go
+++ b/internal/emu/fleet/day.go
@@ -51,10 +51,13 @@
 	Outage                // the ensemble changes nothing
 	Tame                  // a Share of the callers has a budget of retries of Factor and makes three tries
 	Heed                  // a Share of the callers heeds credit and advice
+	Hole                  // a Share of the nodes fails at once whatever reaches it
+	Absurd                // a Share of the nodes tells a credit of Factor, and refuses with advice of a day
+	Flap                  // a Share of the nodes leaves the list and comes back, over and over, each Factor seconds
 )
 
 // Kinds are the names of the kinds.
-var Kinds = []string{"burst", "crash", "crawl", "deploy", "pause", "storm", "partition", "stall", "clock", "loss", "outage", "tame", "heed"}
+var Kinds = []string{"burst", "crash", "crawl", "deploy", "pause", "storm", "partition", "stall", "clock", "loss", "outage", "tame", "heed", "hole", "absurd", "flap"}
 
 func (k Kind) String() string { return Kinds[k] }
 
--- a/internal/emu/fleet/fleet_test.go
+++ b/internal/emu/fleet/fleet_test.go
@@ -217,3 +217,32 @@
 		t.Errorf("the module lets %d fall", r.Fell)
 	}
 }
+
+// Troubles of words and lists do what their names say: a black hole fails what reaches it and no node counts it, an absurd
+// credit lets heeding callers send more, and a list that flaps costs those that believe it.
+func TestTroublesOfWordsAndLists(t *testing.T) {
+	play := func(kind Kind, share, factor float64) Result {
+		d := Usual(7)
+		d.Ms, d.Nodes, d.Load = 15000, 6, 0.9
+		d.Callers = []Habit{{Choice: Least, Tries: 2, Heeds: true, Wait: 0.6}}
+		if share > 0 {
+			d.Troubles = []Trouble{{Kind: kind, At: 3000, For: 9000, Share: share, Factor: factor}}
+		}
+		r := Play(d, Module)
+		if len(r.Broken) > 0 {
+			t.Error(kind, r.Broken)
+		}
+		return r
+	}
+	calm := play(Hole, 0, 0)
+	if hole := play(Hole, 0.3, 1); calm.Failed > 0 || hole.Failed < 20 {
+		t.Errorf("%d tries failed in black holes, %d without", hole.Failed, calm.Failed)
+	}
+	if absurd := play(Absurd, 1, 1e9); absurd.Refused <= calm.Refused {
+		t.Errorf("%d refusals with an absurd credit, %d without", absurd.Refused, calm.Refused)
+	}
+	flap, empty := play(Flap, 0.5, 1), play(Flap, 1, 100)
+	if empty.Withheld <= calm.Withheld || flap.Goal >= calm.Goal {
+		t.Errorf("withheld %d with an empty list, %d without; goal %.3f with a list that flaps, %.3f without", empty.Withheld, calm.Withheld, flap.Goal, calm.Goal)
+	}
+}
--- a/internal/emu/fleet/server.go
+++ b/internal/emu/fleet/server.go
@@ -13,6 +13,9 @@
 	"whinrudder/internal/vtime"
 )
 
+// aDay is absurd advice, in milliseconds.
+const aDay = 24 * 3600e3
+
 // fallenFor is how long a node that fell is away, and sockets how many requests a machine has in hand at most.
 const (
 	fallenFor = 5000
@@ -36,6 +39,8 @@
 	notice   float64
 	crawl    float64
 	clock    float64 // its clock is so far ahead
+	hole     bool    // it fails whatever reaches it
+	absurd   float64 // the credit that it tells; 0: its own
 	life     int
 	memory   float64 // kilobytes of what it has in hand and of what runs
 	most     float64 // that it may have
@@ -333,6 +338,11 @@
 		}
 		s.forget(t)
 		r := reply{outcome: o.Outcome, load: o.Load, wait: o.Wait, stay: o.Last, leaves: o.Close && s.draining}
+		if s.absurd > 0 {
+			if r.load = s.absurd; o.Outcome == core.Refused {
+				r.wait = aDay
+			}
+		}
 		s.p.reach(t, func(float64) { s.p.heard(t, r) })
 	case Reset:
 		t := o.To.(*try)
@@ -407,6 +417,11 @@
 	}
 	t.came = s.p.k.Now()
 	t.mark("came")
+	if s.hole { // it never gets to a node that would count it
+		t.answered, t.atNode = true, false
+		s.p.reach(t, func(float64) { s.p.heard(t, reply{outcome: core.Failed, load: -1}) })
+		return
+	}
 	s.tries[t.n] = t
 	s.pool.Arrive(t.n, t.q.Work)
 }
--- a/internal/emu/fleet/troubles.go
+++ b/internal/emu/fleet/troubles.go
@@ -82,6 +82,17 @@
 	case Clock:
 		each(t.At, func(s *server) { s.clock += t.Factor })
 		each(t.At+t.For, func(s *server) { s.clock -= t.Factor })
+	case Hole:
+		each(t.At, func(s *server) { s.hole = true })
+		each(t.At+t.For, func(s *server) { s.hole = false })
+	case Absurd:
+		each(t.At, func(s *server) { s.absurd = t.Factor })
+		each(t.At+t.For, func(s *server) { s.absurd = 0 })
+	case Flap:
+		for at, on := t.At, false; at < t.At+t.For; at, on = at+1000*t.Factor, !on {
+			each(at, func(s *server) { p.flap(s, on) })
+		}
+		each(t.At+t.For, func(s *server) { p.flap(s, true) })
 	case Loss:
 		p.net.Lose(network.Lossy{From: t.At, To: t.At + t.For, Share: t.Share})
 	case Outage:
@@ -100,6 +111,16 @@
 	p.watch()
 }
 
+// flap takes a node off the list, or puts it back. The node knows nothing of it.
+func (p *play) flap(s *server, on bool) {
+	if on && s.up && !s.draining {
+		p.list.Join(p.k.Now(), s.no)
+	} else if !on {
+		p.list.Leave(p.k.Now(), s.no)
+	}
+	p.watch()
+}
+
 // watch lets callers hear of what changed on the list.
 func (p *play) watch() {
 	changes := p.list.Step(p.k.Now())
