Count tries of the client's throttle with their end, not with their beginning

At fault: Throttle.Holds counted a call as asked for when it began, so that a client with some ten calls under way held some back before it had heard anything.

Counting calls under way by what is expected of them came to the same and was dropped.

--- a/internal/client/attempt/attempt.go
+++ b/internal/client/attempt/attempt.go
@@ -133,6 +133,9 @@
 func (c *Call) Advice() float64 { return c.advice }
 
 func (c *Call) end(r Reason) {
+	if !c.over && c.sent == 0 && r == NoNode {
+		c.shared.Throttle.Missed()
+	}
 	if !c.over {
 		c.over, c.reason = true, r
 	}
--- a/internal/client/attempt/attempt_test.go
+++ b/internal/client/attempt/attempt_test.go
@@ -216,4 +216,20 @@
 			t.Errorf("%v: %d of 1,000 go out", c.end, sent)
 		}
 	}
+	// Calls under way were not turned away: a client that begins with many holds none back. Those for which no node was free were.
+	th, held := NewThrottle(), 0
+	for range 500 {
+		if th.Holds(0, 0) {
+			held++
+		}
+	}
+	if held > 0 {
+		t.Errorf("%d calls are held back before anything was heard", held)
+	}
+	for range 100 {
+		th.Missed()
+	}
+	if !th.Holds(0, 0.5) {
+		t.Error("none is held back though no node is ever free")
+	}
 }
--- a/internal/client/attempt/limits.go
+++ b/internal/client/attempt/limits.go
@@ -55,6 +55,9 @@
 	asked, accepted, at float64
 }
 
+// Missed takes a call for which no node was free: nodes turned it away beforehand, by their credit.
+func (t *Throttle) Missed() { t.asked++ }
+
 // NewThrottle returns the usual one: at half turned away it begins, over half a minute.
 func NewThrottle() *Throttle { return &Throttle{K: 2, Window: 30e3, Slack: 10} }
 
@@ -63,18 +66,21 @@
 	t.asked, t.accepted, t.at = t.asked*f, t.accepted*f, math.Max(t.at, now)
 }
 
-// Holds tells whether a call is held back; the draw is evenly from 0 to 1. It counts as asked, so that clients that are held
-// back go on to be.
+// Holds tells whether a call is held back; the draw is evenly from 0 to 1. One that is counts as asked, so that clients that are
+// held back go on to be. One that is not counts with the end of its tries: what is under way has not been turned away.
 func (t *Throttle) Holds(now, draw float64) bool {
 	t.age(now)
-	p := math.Max(0, (t.asked-t.K*t.accepted-t.Slack)/(t.asked+1))
+	if p := math.Max(0, (t.asked-t.K*t.accepted-t.Slack)/(t.asked+1)); draw >= p {
+		return false
+	}
 	t.asked++
-	return draw < p
+	return true
 }
 
 // Ended takes the end of a try; all but refusals and lost connections show that nodes work.
 func (t *Throttle) Ended(now float64, e End) {
 	t.age(now)
+	t.asked++
 	if e == Served || e == Failed || e == Late {
 		t.accepted++
 	}
--- a/internal/client/members/members.go
+++ b/internal/client/members/members.go
@@ -23,10 +23,10 @@
 	MaxNodes = 4096
 	// wordFor is how long a node's own word goes before a list that is older than it.
 	wordFor = 5000.0
-	// leavesFor is how long a node's word that it leaves is believed. A node that drains still runs what comes in its first
-	// seconds, says with each answer that it has no room, and has a successor in its place that no list names yet: who left it
-	// alone for longer would miss both.
-	leavesFor = 300.0
+	// leavesFor is how long a node's word that it leaves is believed: as long as a credit is heeded. A node that drains still runs
+	// what comes in its first seconds, and may have a successor in its place that no list names yet: who left it alone for
+	// longer would miss both. Asked more often, it turns away what others would have taken.
+	leavesFor = 1000.0
 	// emptyFor is how long an empty list is not believed: an ensemble that lost its data is likelier than a fleet that left.
 	emptyFor = 60e3
 	// shrunk is the share of the fleet that one list may take away at once; with more the others are kept as a last resort
--- a/internal/emu/habits/habits.go
+++ b/internal/emu/habits/habits.go
@@ -259,16 +259,21 @@
 	if c.ranking != nil {
 		c.rank(node)
 	}
+	how := attempt.Served
 	if e == Refused {
-		v.away = max(v.away, now+wait)
-	} else if c.throttle != nil {
-		c.throttle.Ended(now, attempt.Served)
+		v.away, how = max(v.away, now+wait), attempt.Refused
+	}
+	if c.throttle != nil {
+		c.throttle.Ended(now, how)
 	}
 }
 
 // Broken takes a connection that broke or was not had: the caller stays away for as long as it heeds a credit.
 func (c *Caller) Broken(now float64, node int) {
 	c.seen[node].away = max(c.seen[node].away, now+c.heardFor)
+	if c.throttle != nil {
+		c.throttle.Ended(now, attempt.Broken)
+	}
 }
 
 // rank moves a node to its place, behind those of the same mean.
--- a/internal/emu/habits/habits_test.go
+++ b/internal/emu/habits/habits_test.go
@@ -115,6 +115,9 @@
 	for i := range 2000 {
 		if c.Sends(float64(i), 0, r.Float64()) {
 			sent++
+			c.Sent(0)
+			c.Closed(0)
+			c.Heard(float64(i), 0, Refused, 1, -1, 0)
 		}
 	}
 	if sent > 100 {
