Let a new process be ready only once the old one knows it, and mend the handover

Found in a second reading of the upgrade: - GET /ready said yes when the new process served, before the old one had read that: SIGTERM in between was a plain drain that sent the callers away. The old process now says yielded, and ready waits for it (a driver test holds both together). - A successor that died after SIGTERM left the old process holding back new connections to its end (giving.run looked at leaves): it takes them again; the exchange fall fails without it. - After a stall of 2 s the silence was judged with the other's words unread: a read looks once more, and 5 s are allowed. Tested by a read whose time is over. - Ids that the core told too late were dropped with the next answer (shares). Tested. - A third process beside two mixed up what is shared with whom: it is refused. Tested. - After a reload the halving of descriptors took the first configuration's limits; a lost link was logged as the own end; ROUTER_ADMIN was not checked; svc.current was held twice; Members.Began had no caller.

--- a/cmd/whinrudder/main.go
+++ b/cmd/whinrudder/main.go
@@ -95,7 +95,11 @@
 		cfg, err = settings.ParseConfig(text)
 	}
 	if cfg.Admin == "" {
-		cfg.Admin = os.Getenv("ROUTER_ADMIN")
+		if cfg.Admin = os.Getenv("ROUTER_ADMIN"); cfg.Admin != "" {
+			if bad := settings.CheckAddr(cfg.Admin); bad != nil {
+				err = errors.Join(err, fmt.Errorf("ROUTER_ADMIN: %w", bad))
+			}
+		}
 	}
 	if path := c.String("operator"); path != "" {
 		text, err2 := os.ReadFile(path)
--- a/internal/client/members/members.go
+++ b/internal/client/members/members.go
@@ -162,13 +162,6 @@
 	}
 }
 
-// Began takes it that a node is a new life in the place of one that left.
-func (m *Members) Began(name string) {
-	if e := m.byName[name]; e != nil {
-		e.leaving = math.Inf(-1)
-	}
-}
-
 // State returns how far a node may be used.
 func (m *Members) State(now float64, name string) State {
 	e := m.byName[name]
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -23,7 +23,6 @@
 
 // Book holds the figures of one process.
 type Book struct {
-	Current     atomic.Int64 // requests that are owed an answer
 	ConfLoaded  atomic.Int64 // configurations taken over at SIGHUP
 	ConfInvalid atomic.Int64 // configurations turned down at SIGHUP
 
@@ -51,27 +50,28 @@
 	return out
 }
 
-// AppendText appends all figures, a line each: svc.transactions.CLASS.NAME=N and svc.NAME=N.
-func (b *Book) AppendText(to []byte) []byte {
+// AppendText appends all figures, a line each: svc.transactions.CLASS.NAME=N and svc.NAME=N. Current is how many requests
+// are owed an answer.
+func (b *Book) AppendText(to []byte, current int) []byte {
 	b.mu.Lock()
 	all := slices.Clone(b.all)
 	b.mu.Unlock()
-	line := func(n *atomic.Int64, path ...string) {
+	line := func(n int64, path ...string) {
 		to = append(to, "svc"...)
 		for _, p := range path {
 			to = append(append(to, '.'), p...)
 		}
-		to = strconv.AppendInt(append(to, '='), n.Load(), 10)
+		to = strconv.AppendInt(append(to, '='), n, 10)
 		to = append(to, '\n')
 	}
 	for _, c := range all {
-		line(&c.Answered, "transactions", c.Name, "answered")
-		line(&c.Deferred, "transactions", c.Name, "deferred")
-		line(&c.Errored, "transactions", c.Name, "errored")
-		line(&c.Sends, "transactions", c.Name, "sends")
+		line(c.Answered.Load(), "transactions", c.Name, "answered")
+		line(c.Deferred.Load(), "transactions", c.Name, "deferred")
+		line(c.Errored.Load(), "transactions", c.Name, "errored")
+		line(c.Sends.Load(), "transactions", c.Name, "sends")
 	}
-	line(&b.Current, "current")
-	line(&b.ConfLoaded, "conf_loaded")
-	line(&b.ConfInvalid, "conf_invalid")
+	line(int64(current), "current")
+	line(b.ConfLoaded.Load(), "conf_loaded")
+	line(b.ConfInvalid.Load(), "conf_invalid")
 	return to
 }
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -11,6 +11,7 @@
 //	       <------------------  welcome (listening sockets), sections of knowledge, end
 //	       <----- load ------>  each way, every LoadEvery
 //	serving ----------------->                         from here on the successor takes new connections
+//	       <------------------  yielded                and the running process takes none: it may be told to leave
 //	       <------------------  conn (a connection at rest), any number
 //
 // Until serving nothing has changed for the running process, and if the successor is lost then or later, it goes on as
@@ -32,14 +33,16 @@
 	kindServing                       // successor: it serves
 	kindLoad                          // either: what it has in hand, and ids that it has read
 	kindConn                          // running process: a connection comes with the frame
+	kindYielded                       // running process: it takes no new connections
 )
 
 // Times in milliseconds.
 const (
 	// LoadEvery is how often each side tells what it has in hand: a few times in the time that a request takes.
 	LoadEvery = 50
-	// silentFor is how long a side may say nothing: it tells its load far more often.
-	silentFor = 2000
+	// silentFor is how long a side may say nothing: it tells its load far more often, but a process may stand still, and
+	// its end is heard of at once.
+	silentFor = 5000
 	// helloFor is how long a successor may take to say who it is.
 	helloFor = 1000
 	// welcomeFor is how long a running process may take to hand over its sockets.
@@ -102,6 +105,8 @@
 	Learned struct{ knowledge.Report }
 	// Serving tells that the successor takes new connections.
 	Serving struct{}
+	// Yielded tells that the running process takes no new connections, and knows its successor.
+	Yielded struct{}
 	// Loaded brings what the other side has in hand, and ids that it has read.
 	Loaded struct {
 		whinrudder.Beside
@@ -115,6 +120,7 @@
 func (Offered) event() {}
 func (Learned) event() {}
 func (Serving) event() {}
+func (Yielded) event() {}
 func (Loaded) event()  {}
 func (Came) event()    {}
 
@@ -269,6 +275,13 @@
 // Serving tells whether the successor takes new connections.
 func (g *Giver) Serving() bool { return g.phase == serving }
 
+// Yield tells the successor that this process takes no new connections.
+func (g *Giver) Yield() {
+	if g.phase == serving {
+		g.say(Message{Bytes: peer.AppendValue(nil, kindYielded, struct{}{})})
+	}
+}
+
 // Conn hands over a connection. It tells false if the successor does not take any.
 func (g *Giver) Conn(c Conn, what any) bool {
 	if g.phase != serving {
@@ -278,8 +291,8 @@
 	return true
 }
 
-// Due is called when Wake has come.
-func (g *Giver) Due(now float64) *peer.Fault { return g.due(now) }
+// Due tells what is wrong if nothing that came by a time was left unread.
+func (g *Giver) Due(looked float64) *peer.Fault { return g.due(looked) }
 
 // Taker is the side of the successor. Create it with NewTaker.
 type Taker struct {
@@ -353,6 +366,8 @@
 			return nil, bad
 		}
 		return e, nil
+	case f.Kind == kindYielded && t.serves:
+		return Yielded{}, nil
 	case f.Kind == kindConn && t.serves:
 		var c Conn
 		if bad := peer.Value(f, &c); bad != nil {
@@ -377,5 +392,22 @@
 	}
 }
 
-// Due is called when Wake has come.
-func (t *Taker) Due(now float64) *peer.Fault { return t.due(now) }
+// Due tells what is wrong if nothing that came by a time was left unread.
+func (t *Taker) Due(looked float64) *peer.Fault { return t.due(looked) }
+
+// The platform stops a process that was succeeded after the longest deadline, counted as graceMost where it is longer, and
+// graceMore. It ends graceMargin before that.
+const (
+	graceMost   = 3000
+	graceMore   = 700
+	graceMargin = 100
+)
+
+// Grace is how long a process that was succeeded has from the notice to leave, in milliseconds.
+func Grace(classes []whinrudder.Class) float64 {
+	longest := 0.0
+	for _, c := range classes {
+		longest = max(longest, c.Deadline)
+	}
+	return min(longest, graceMost) + graceMore - graceMargin
+}
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -53,6 +53,8 @@
 		return peer.AppendSections(nil, sample)
 	case "serving":
 		return peer.AppendValue(nil, kindServing, struct{}{})
+	case "yielded":
+		return peer.AppendValue(nil, kindYielded, struct{}{})
 	case "load":
 		b, ids := loadOf(rest)
 		return peer.AppendValue(nil, kindLoad, load{b.Live, b.KB, []byte(strings.Join(ids, ""))})
@@ -83,6 +85,8 @@
 		return fmt.Sprint("learned ", len(e.Classes))
 	case Loaded:
 		return "loaded " + told(e.Beside, e.IDs)
+	case Yielded:
+		return "yielded"
 	case Came:
 		return fmt.Sprintf("came %s served=%d", e.Front, e.Served)
 	}
@@ -114,6 +118,8 @@
 				line = "out welcome " + strings.Join(w.Fronts, ",")
 			case kindServing:
 				line = "out serving"
+			case kindYielded:
+				line = "out yielded"
 			case kindLoad:
 				e, _ := loaded(f)
 				line = "out load " + told(e.Beside, e.IDs)
@@ -201,6 +207,8 @@
 				m.(*Taker).Serve()
 			case "load":
 				m.Load(loadOf(words[1:]))
+			case "yield":
+				m.(*Giver).Yield()
 			case "conn":
 				m.(*Giver).Conn(Conn{Front: "http", Served: 2}, words[1])
 			case "at":
@@ -283,6 +291,14 @@
 	})
 }
 
+func TestGrace(t *testing.T) {
+	for longest, want := range map[float64]float64{900: 1500, 3000: 3600, 9300: 3600} {
+		if got := Grace([]whinrudder.Class{{Deadline: 100}, {Deadline: longest}}); got != want {
+			t.Errorf("%v ms with a deadline of %v, want %v", got, longest, want)
+		}
+	}
+}
+
 func FuzzSides(f *testing.F) {
 	f.Add(true, peer.AppendValue(nil, kindHello, hello{"n1", addrs("http=a:1")}))
 	f.Add(false, append(peer.AppendValue(nil, kindWelcome, welcome{Node: "n1", Fronts: []string{"http"}, Head: peer.HeadOf(sample)}), peer.AppendSections(nil, sample)...))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -71,6 +71,7 @@
 	mu      sync.Mutex // of what follows, which a reload changes
 	stopMs  float64
 	view    catalog.View
+	granted settings.Config // the last one that held
 
 	catalog *catalog.Catalog // of the goroutine of reloads
 	succession
@@ -110,7 +111,8 @@
 	n.view = n.catalog.View(cfg.Settings.Policy)
 	n.site.Set(n.terms(n.view, kept))
 	c.Count(n.figures.Classes(n.view.Names))
-	n.conns.most = n.mostConns(cfg)
+	n.granted = cfg
+	n.conns.most = n.mostConns(cfg, false)
 	n.idle.Store(int64(cfg.Settings.Policy.KeepAlive))
 	n.taking.Store(true)
 	n.stopMs = cfg.StopMs
@@ -120,13 +122,11 @@
 }
 
 // mostConns is how many connections of callers there may be.
-func (n *Node) mostConns(cfg settings.Config) int {
+func (n *Node) mostConns(cfg settings.Config, beside bool) int {
 	most := cfg.Sockets
-	n.mu.Lock()
-	if n.beside {
+	if beside {
 		most /= 2
 	}
-	n.mu.Unlock()
 	if n.cfg.Admin != "" {
 		most -= door.MaxConns
 	}
@@ -214,7 +214,7 @@
 // Run serves until a signal or the end of ctx makes the node leave and all is answered. At each signal of reload it
 // takes over what load then gives, see reload.go.
 func (n *Node) Run(ctx context.Context, stop, reload <-chan os.Signal, load Load) {
-	limits(n.cfg, n.op, n.taken != nil)
+	n.grant()
 	go n.link.run()
 	go n.announce()
 	go n.reloads(reload, load)
@@ -295,7 +295,6 @@
 			n.carry(o)
 		}
 		n.inHand.Store(int64(n.core.Open()))
-		n.figures.Current.Store(int64(n.core.Open()))
 		n.link.flush()
 	}
 }
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -155,9 +155,12 @@
 // operators is what the door asks the node.
 type operators struct{ *Node }
 
-func (o operators) Ready() bool { return o.serving.Load() && o.taking.Load() }
+// Ready tells whether the process can serve and, where it succeeds another, that one may be told to leave.
+func (o operators) Ready() bool {
+	return o.serving.Load() && o.taking.Load() && (o.up == nil || o.up.Settled())
+}
 
-func (o operators) AppendFigures(b []byte) []byte { return o.figures.AppendText(b) }
+func (o operators) AppendFigures(b []byte) []byte { return o.figures.AppendText(b, o.InHand()) }
 
 func (o operators) Drain(on bool, by float64) bool {
 	done := make(chan struct{})
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -61,14 +61,10 @@
 		}
 	}
 	n.mu.Lock()
-	n.stopMs = cfg.StopMs
+	n.stopMs, n.granted = cfg.StopMs, cfg
 	n.mu.Unlock()
 	n.retune(view, cfg.Settings.Gauges)
-	n.mu.Lock()
-	beside := n.beside
-	n.mu.Unlock()
-	limits(cfg, n.op, beside)
-	n.conns.limit(n.mostConns(cfg))
+	n.grant()
 	n.link.move(cfg.Pool)
 	n.reports.move(cfg.Announce)
 	n.parted(Part.Reload)
--- a/internal/node/succession.go
+++ b/internal/node/succession.go
@@ -14,14 +14,6 @@
 	"whinrudder/internal/upgrade"
 )
 
-// A process that was succeeded has the longest deadline to end, counted as graceMost where it is longer, and grace more;
-// before the end it leaves margin. In milliseconds.
-const (
-	graceMost   = 3000
-	grace       = 700
-	graceMargin = 100
-)
-
 // holdFor is how often an accept that is held back looks whether it may go on, in milliseconds.
 const holdFor = 20
 
@@ -135,8 +127,16 @@
 	n.mu.Lock()
 	n.beside = on
 	n.mu.Unlock()
-	n.conns.limit(n.mostConns(n.cfg))
-	limits(n.cfg, n.op, on)
+	n.grant()
+}
+
+// grant keeps the process within what the last configuration gives it, and its part of that.
+func (n *Node) grant() {
+	n.mu.Lock()
+	cfg, beside := n.granted, n.beside
+	n.mu.Unlock()
+	n.conns.limit(n.mostConns(cfg, beside))
+	limits(cfg, n.op, beside)
 }
 
 // leave is how long the node has to the end, and whether a successor is there.
@@ -153,12 +153,8 @@
 	if n.up == nil || !n.up.Succeeds() {
 		return leave{n.stopAfter(), false}
 	}
-	longest := 0.0
 	_, s := n.present()
-	for _, c := range s.Classes {
-		longest = max(longest, c.Deadline)
-	}
-	return leave{min(longest, graceMost) + grace - graceMargin, true}
+	return leave{handover.Grace(s.Classes), true}
 }
 
 // moves hands a connection at rest to a successor. It tells true if the connection is the successor's now.
--- a/internal/upgrade/giving.go
+++ b/internal/upgrade/giving.go
@@ -17,6 +17,7 @@
 	serves bool // of u.mu
 
 	machine *handover.Giver // of pipe.mu
+	broken  bool            // of pipe.mu: a connection could not be handed over
 }
 
 // out writes what the machine wants.
@@ -41,6 +42,7 @@
 		return false
 	}
 	if err := g.pipe.write(g.machine.Out(), now()+writeFor, g.u.h.Listeners); err != nil {
+		g.broken = true
 		g.pipe.close() // a frame may have gone in part: nothing more can be said
 		return false
 	}
@@ -50,17 +52,22 @@
 func (g *giving) run() {
 	defer g.u.wait.Done()
 	code, text := g.talk()
+	g.pipe.mu.Lock()
+	if g.broken {
+		code = "lost"
+	}
+	g.pipe.mu.Unlock()
 	g.pipe.close()
 	g.pipe.drop()
 	u := g.u
+	u.h.Tell(core.Share{End: true})
+	u.h.Tell(core.Beside{})
 	u.mu.Lock()
-	served, over := g.serves, u.ended || u.leaves
+	served, over := g.serves, u.ended
 	g.serves, u.to = false, nil
 	u.mu.Unlock()
 	u.h.Log("handover", "side", "give", "code", code, "error", text)
-	u.h.Tell(core.Share{End: true})
-	u.h.Tell(core.Beside{})
-	if served && !over { // the successor is lost: this process goes on as before, and the next one finds it
+	if served && !over { // the successor is lost: this process goes on as before, to its end if it leaves
 		u.h.Succeeded(false)
 		u.Offer()
 	}
@@ -68,7 +75,7 @@
 
 // talk speaks with the successor until the end. It returns a code of the end and, for a fault, what it was.
 func (g *giving) talk() (code, text string) {
-	share := make(shares, 1)
+	share := newShares()
 	told := false // what is in hand is told, from the welcome on
 	for tick := now(); ; {
 		if told && now() >= tick {
@@ -86,14 +93,14 @@
 		if told {
 			by = min(by, tick)
 		}
-		b, err := g.pipe.read(by)
+		b, looked, err := g.pipe.read(by)
 		if err != nil {
 			return endOf(err)
 		}
 		g.pipe.mu.Lock()
 		events, bad := g.machine.Feed(now(), b)
 		if bad == nil {
-			bad = g.machine.Due(now())
+			bad = g.machine.Due(looked)
 		}
 		g.pipe.mu.Unlock()
 		for _, e := range events {
@@ -110,6 +117,9 @@
 				g.u.mu.Unlock()
 				g.u.h.Log("handover", "side", "give", "code", "succeeded")
 				g.u.h.Succeeded(true)
+				g.pipe.mu.Lock()
+				g.machine.Yield()
+				g.pipe.mu.Unlock()
 			case handover.Loaded:
 				g.u.h.Tell(core.Beside{Beside: e.Beside, IDs: e.IDs})
 			}
--- a/internal/upgrade/pipe.go
+++ b/internal/upgrade/pipe.go
@@ -41,24 +41,30 @@
 	p.files = nil
 }
 
-// read reads until an absolute time. A time that is over is no error: it returns nothing.
-func (p *pipe) read(by float64) ([]byte, error) {
-	p.c.SetReadDeadline(at(by))
+// lookFor is how long a read takes at least, in milliseconds: after a stall of this process its time is over, and what the
+// other said meanwhile waits.
+const lookFor = 5
+
+// read reads until an absolute time. A time that is over is no error: it returns nothing. What came by the time that it
+// returns is not left unread.
+func (p *pipe) read(by float64) (b []byte, looked float64, err error) {
+	looked = now()
+	p.c.SetReadDeadline(at(max(by, looked+lookFor)))
 	n, oobn, _, _, err := p.c.ReadMsgUnix(p.buf, p.oob)
 	if oobn > 0 {
 		if err := p.take(p.oob[:oobn]); err != nil {
-			return nil, err
+			return nil, looked, err
 		}
 	}
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, nil
+		return nil, looked, nil
 	case err != nil:
-		return nil, err
+		return nil, looked, err
 	case n == 0:
-		return nil, io.EOF
+		return nil, looked, io.EOF
 	}
-	return p.buf[:n], nil
+	return p.buf[:n], looked, nil
 }
 
 func (p *pipe) take(oob []byte) error {
--- a/internal/upgrade/taking.go
+++ b/internal/upgrade/taking.go
@@ -17,7 +17,8 @@
 	u       *Upgrade
 	pipe    *pipe
 	machine *handover.Taker // of pipe.mu
-	over    bool            // of u.mu
+	over    bool            // of u.mu: the other process has ended
+	yielded bool            // of u.mu: the other process takes no new connections
 }
 
 // Taken is what a running process handed over.
@@ -67,14 +68,14 @@
 
 // step reads once and hands on what was said.
 func (t *taking) step(by float64, each func(handover.Event) error) error {
-	b, err := t.pipe.read(by)
+	b, looked, err := t.pipe.read(by)
 	if err != nil {
 		return err
 	}
 	t.pipe.mu.Lock()
 	events, bad := t.machine.Feed(now(), b)
 	if bad == nil {
-		bad = t.machine.Due(now())
+		bad = t.machine.Due(looked)
 	}
 	t.pipe.mu.Unlock()
 	for _, e := range events {
@@ -128,17 +129,17 @@
 	code, text := t.talk()
 	t.pipe.close()
 	t.pipe.drop()
+	t.u.h.Tell(core.Share{End: true})
+	t.u.h.Tell(core.Beside{})
 	t.u.mu.Lock()
 	t.over = true
 	t.u.mu.Unlock()
 	t.u.h.Log("handover", "side", "take", "code", code, "error", text)
-	t.u.h.Tell(core.Share{End: true})
-	t.u.h.Tell(core.Beside{})
 	t.u.h.Alone()
 }
 
 func (t *taking) talk() (code, text string) {
-	share := make(shares, 1)
+	share := newShares()
 	for tick := now(); ; {
 		if now() >= tick {
 			tick = now() + handover.LoadEvery
@@ -165,6 +166,11 @@
 	switch e := e.(type) {
 	case handover.Loaded:
 		t.loaded(e)
+	case handover.Yielded:
+		t.u.mu.Lock()
+		t.yielded = true
+		t.u.mu.Unlock()
+		t.u.h.Log("handover", "side", "take", "code", "settled")
 	case handover.Came:
 		f, err := t.pipe.next()
 		if err != nil {
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -152,13 +152,14 @@
 		}
 		g := &giving{u: u, pipe: newPipe(c), machine: handover.NewGiver(u.h.Name, u.h.Addrs(), now())}
 		u.mu.Lock()
-		taken := u.to != nil || u.ended
+		// One successor at a time, and none beside a predecessor: what is in hand is shared with one other process.
+		taken := u.to != nil || u.ended || u.from != nil && !u.from.over
 		if !taken {
 			u.to = g
 			u.wait.Add(1)
 		}
 		u.mu.Unlock()
-		if taken { // one successor at a time
+		if taken {
 			g.refuse("taken")
 			continue
 		}
@@ -173,6 +174,13 @@
 	return u.to != nil && u.to.serves
 }
 
+// Settled tells that the process that this one succeeds, if there is one, knows it: it may be told to leave.
+func (u *Upgrade) Settled() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.from == nil || u.from.yielded || u.from.over
+}
+
 // Move hands a connection at rest to the successor. If it tells true, the connection is the successor's.
 func (u *Upgrade) Move(c net.Conn, how handover.Conn) bool {
 	u.mu.Lock()
@@ -236,24 +244,40 @@
 	}
 }
 
-// shares asks the core for what is in hand.
-type shares chan core.Beside
+// shares asks the core for what is in hand. What it tells too late is told the next time: no id is lost.
+type shares struct {
+	mu   sync.Mutex
+	last core.Beside // with all ids that were not taken yet
+	told chan struct{}
+}
 
-func (s shares) ask(tell func(core.Input)) (core.Beside, bool) {
-	tell(core.Share{To: func(load whinrudder.Beside, ids []string) {
-		select {
-		case s <- core.Beside{Beside: load, IDs: ids}:
-		default: // what was asked for before was not taken yet, and the ids of this time are lost with it
-		}
-	}})
+func newShares() *shares { return &shares{told: make(chan struct{}, 1)} }
+
+// take is called by the core.
+func (s *shares) take(load whinrudder.Beside, ids []string) {
+	s.mu.Lock()
+	s.last = core.Beside{Beside: load, IDs: append(s.last.IDs, ids...)}
+	s.mu.Unlock()
+	select {
+	case s.told <- struct{}{}:
+	default:
+	}
+}
+
+func (s *shares) ask(tell func(core.Input)) (core.Beside, bool) {
+	tell(core.Share{To: s.take})
 	late := time.NewTimer(time.Until(at(now() + askFor)))
 	defer late.Stop()
 	select {
-	case b := <-s:
-		return b, true
+	case <-s.told:
 	case <-late.C:
 		return core.Beside{}, false
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.last
+	s.last.IDs = nil
+	return b, true
 }
 
 // report asks the core what it has learned.
