Let kept results pass to the process that succeeds a node

In between requests with a token are refused at once with advice (Srv-Kept: moved), all else is served. Not taken: running operations for the new process at the old one, or holding requests back (docs/design/operation.md).

--- a/cmd/whinrudder/upgrade_test.go
+++ b/cmd/whinrudder/upgrade_test.go
@@ -25,8 +25,8 @@
 	r    *bufio.Reader
 }
 
-// ask sends a request and returns the status and the body of its answer.
-func (k *keptAlive) ask(class, body string) (int, string, error) {
+// ask sends a request, with a token if there is one, and returns the status and the body of its answer.
+func (k *keptAlive) ask(class, token, body string) (int, string, error) {
 	if k.c == nil {
 		c, err := net.Dial("tcp", k.addr)
 		if err != nil {
@@ -34,8 +34,8 @@
 		}
 		k.c, k.r = c, bufio.NewReader(c)
 	}
-	_, err := fmt.Fprintf(k.c, "POST /rpc/%s HTTP/1.1\r\nReq-Id: %016x\r\nReq-Time: %d\r\nReq-From: 1\r\nReq-Wait-Ms: 800\r\nReq-Kb: 20\r\nReq-Rank: 0.5\r\nContent-Length: %d\r\n\r\n%s",
-		class, rand.Uint64(), time.Now().UnixMilli(), len(body), body)
+	_, err := fmt.Fprintf(k.c, "POST /rpc/%s HTTP/1.1\r\nReq-Id: %016x\r\nReq-Time: %d\r\nReq-From: 1\r\nReq-Wait-Ms: 800\r\nReq-Kb: 20\r\nReq-Rank: 0.5\r\n%sContent-Length: %d\r\n\r\n%s",
+		class, rand.Uint64(), time.Now().UnixMilli(), token, len(body), body)
 	if err != nil {
 		return 0, "", fmt.Errorf("closed: %w", err)
 	}
@@ -53,8 +53,15 @@
 }
 
 // Real processes succeed each other under load, each with a worker pool of its own: no request is turned back at the door,
-// all that is served is the result of its run, and nothing runs twice.
+// all that is served is the result of its run, and nothing runs twice. Where results are kept, a booking that was refused while the
+// journal passed comes again, as one does whose answer was served, and both get the result of the one run.
 func TestUpgradedAgainAndAgain(t *testing.T) {
+	for _, kept := range []bool{false, true} {
+		t.Run(map[bool]string{false: "plain", true: "kept"}[kept], func(t *testing.T) { upgradeAgainAndAgain(t, kept) })
+	}
+}
+
+func upgradeAgainAndAgain(t *testing.T, kept bool) {
 	program, dir := build(t)
 	addr := freeAddr(t)
 	const upgrades = 4
@@ -70,6 +77,14 @@
 			t.Fatal(err)
 		}
 		c := exec.Command(program, "serve", "--config", config)
+		if kept {
+			operator := filepath.Join(dir, "operator.json")
+			text := fmt.Sprintf(`{"kept":{"dir":%q,"classes":["payout-book"],"segment_mb":1,"disk_mb":8}}`, filepath.Join(dir, "kept"))
+			if err := os.WriteFile(operator, []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			c.Args = append(c.Args, "--operator", operator)
+		}
 		c.Env = append(os.Environ(), "ROUTER_ADMIN="+admin, "TMPDIR="+dir)
 		if err := c.Start(); err != nil {
 			t.Fatal(err)
@@ -90,7 +105,7 @@
 	var mu sync.Mutex
 	stop := make(chan struct{})
 	statuses, wrong, served := map[int]int{}, []string{}, map[string]bool{}
-	var took []float64
+	var took, passed []float64
 	for c := range 12 {
 		wg.Go(func() {
 			k := &keptAlive{addr: addr}
@@ -101,9 +116,21 @@
 				default:
 				}
 				class := []string{"status-lookup", "payout-book"}[n%2]
-				body, begun := fmt.Sprintf("%s-%d-%d", class, c, n), time.Now()
-				status, text, err := k.ask(class, body)
+				body, begun, token := fmt.Sprintf("%s-%d-%d", class, c, n), time.Now(), ""
+				if kept && class == "payout-book" {
+					token = "Req-Token: " + body + "\r\n"
+				}
+				status, text, err := k.ask(class, token, body)
+				for tries := 1; token != "" && err == nil && (status == 503 || tries == 1); tries++ {
+					if status == 503 {
+						time.Sleep(20 * time.Millisecond)
+					}
+					status, text, err = k.ask(class, token, body)
+				}
 				mu.Lock()
+				if took := time.Since(begun); token != "" && status == 200 {
+					passed = append(passed, took.Seconds())
+				}
 				statuses[status]++
 				switch {
 				case err != nil:
@@ -162,5 +189,9 @@
 		t.Errorf("%d served: too few to show anything", len(served))
 	}
 	slices.Sort(took)
+	if kept {
+		slices.Sort(passed)
+		t.Logf("bookings with a token: the longest from the first try to the result %.2f s", passed[len(passed)-1])
+	}
 	t.Logf("%d upgrades, %v answers by status, %d runs; served in the median %.1f ms, 99 of 100 %.1f ms", upgrades, statuses, len(ran), took[len(took)/2], took[len(took)*99/100])
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -301,8 +301,9 @@
 	health whinrudder.Health
 	load   float64
 
-	ops  *ops.Table     // nil: no results are kept
-	kept map[int]string // names of the classes whose results are
+	ops    *ops.Table     // nil: no results are kept, or another process of the node does
+	kept   map[int]string // names of the classes whose results are
+	yields bool           // another process is to have the operations
 
 	counts []*figures.Class  // by the place of the class; nil: nobody reads them
 	cold   bool              // the worker pool was, when it came up
@@ -349,6 +350,7 @@
 	c.overdue()
 	if c.ops != nil {
 		c.step()
+		c.release()
 	}
 	c.leave()
 	return c.out
@@ -511,6 +513,10 @@
 		c.besides(i)
 	case Retune:
 		c.retune(i)
+	case Yield:
+		c.yield(i.On)
+	case Adopt:
+		c.adopt(i.Table)
 	case Lasts:
 		c.ops.Durable(c.now, i.Places, i.Segments)
 	case Lapses:
--- a/internal/core/kept.go
+++ b/internal/core/kept.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"errors"
 	"fmt"
 	"slices"
 	"strings"
@@ -66,8 +67,10 @@
 func (Fetch) output()       {}
 func (DropSegment) output() {}
 
-// Keep lets the core keep the results of some classes, by their names, in a table that has been recovered. It must be called before the
-// first step. To the module these are classes whose repeats may share an answer; the window is 0, as what is kept takes
+var errMoved = errors.New("another process of the node has the operations")
+
+// Keep lets the core keep the results of some classes, by their names, in a table that has been recovered; nil: it comes later, by
+// Adopt. It must be called before the first step. To the module these are classes whose repeats may share an answer; the window is 0, as what is kept takes
 // none of the worker pool's memory.
 func (c *Core) Keep(t *ops.Table, names map[int]string) {
 	c.ops, c.kept = t, names
@@ -90,6 +93,12 @@
 
 // begin takes a request with a token. It returns whether it goes on to the module.
 func (c *Core) begin(r *request) bool {
+	if c.ops == nil {
+		a := c.unserved(ops.WhyMoved)
+		a.Wait = c.settings.MaxRetryAfter
+		c.answer(r, a)
+		return false
+	}
 	r.op, r.key = true, OpKey(c.kept[r.Class], r.Token)
 	sum := sha256.Sum256(r.Body)
 	v := c.ops.Begin(c.now, r.ID, r.key, [16]byte(sum[:16]))
@@ -112,7 +121,7 @@
 	switch why {
 	case ops.WhyOtherBody:
 		a.Outcome = Unlike
-	case ops.WhyFull, ops.WhyStalled, ops.WhyNotRun:
+	case ops.WhyFull, ops.WhyStalled, ops.WhyNotRun, ops.WhyMoved:
 		a.Outcome = Refused
 	}
 	return a
@@ -263,6 +272,10 @@
 
 // resolve takes an operator's word.
 func (c *Core) resolve(i Resolve) {
+	if c.ops == nil {
+		i.To(errMoved)
+		return
+	}
 	i.To(c.ops.Resolve(c.now, i.Key, i.Kind, i.Result, i.By))
 }
 
--- a/internal/core/retune.go
+++ b/internal/core/retune.go
@@ -31,7 +31,7 @@
 
 // retune takes over new settings. What is in hand keeps its class, whatever the new settings say of it.
 func (c *Core) retune(r Retune) {
-	if c.ops != nil {
+	if c.kept != nil {
 		c.kept = r.Kept
 	}
 	r.Settings.Classes = c.keyed(r.Settings.Classes)
--- /dev/null
+++ b/internal/kept/holder.go
@@ -0,0 +1,181 @@
+package kept
+
+import (
+	"errors"
+	"sync"
+	"time"
+
+	"whinrudder/internal/core"
+	"whinrudder/internal/custody"
+	"whinrudder/internal/folder"
+	"whinrudder/internal/ops"
+)
+
+// Holder has the journal of a node while this process is the one that shall have it. It drives package custody, which
+// decides when that is.
+type Holder struct {
+	host Host
+	open func(now float64) (*Keeper, *ops.Table, error)
+	path string // of the folder, for the socket of operators
+
+	fault string // of the last try, told already; of the goroutine
+
+	mu    sync.Mutex // of what follows
+	m     *custody.Machine
+	k     *Keeper // nil: another process has the journal
+	ended bool
+	poke  chan struct{}
+	over  chan struct{}
+	done  chan struct{}
+}
+
+// NewHolder returns a holder that opens a journal by open. It must be started.
+func NewHolder(host Host, path string, open func(now float64) (*Keeper, *ops.Table, error)) *Holder {
+	return &Holder{host: host, open: open, path: path, poke: make(chan struct{}, 1), over: make(chan struct{}), done: make(chan struct{})}
+}
+
+func now() float64 { return float64(time.Now().UnixNano()) / 1e6 }
+
+// Start begins. A process that succeeds no other must have the journal at once, and its table is returned; one that does
+// tries for it, and the table comes to the core as Adopt.
+func (h *Holder) Start(successor bool) (t *ops.Table, err error) {
+	if !successor {
+		if h.k, t, err = h.open(now()); err != nil {
+			return nil, err
+		}
+		if err := h.k.Run(h.path); err != nil {
+			return nil, err
+		}
+	}
+	h.m = custody.New(!successor)
+	go h.run()
+	return t, nil
+}
+
+// tell lets the machine hear something.
+func (h *Holder) tell(what func(m *custody.Machine)) {
+	h.mu.Lock()
+	what(h.m)
+	h.mu.Unlock()
+	select {
+	case h.poke <- struct{}{}:
+	default:
+	}
+}
+
+func (h *Holder) run() {
+	defer close(h.done)
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		h.mu.Lock()
+		do, wake := h.m.Next(now()), h.m.Wake()
+		h.mu.Unlock()
+		switch do {
+		case custody.Open:
+			h.take()
+			continue
+		case custody.Yield:
+			h.host.Log("kept", "code", "yielding")
+			h.host.Tell(core.Yield{On: true})
+			continue
+		case custody.Resume:
+			h.host.Tell(core.Yield{On: false})
+			h.host.Log("kept", "code", "resumed")
+			continue
+		case custody.Close:
+			h.release()
+			continue
+		}
+		var due <-chan time.Time
+		if wake > 0 {
+			timer.Reset(time.Until(time.UnixMicro(int64(wake * 1e3))))
+			due = timer.C
+		}
+		select {
+		case <-h.poke:
+		case <-due:
+		case <-h.over:
+			return
+		}
+	}
+}
+
+// take tries for the journal.
+func (h *Holder) take() {
+	k, t, err := h.open(now())
+	if err == nil {
+		if err = k.Run(h.path); err != nil {
+			k.j.Close()
+		}
+	}
+	if err != nil && !errors.Is(err, folder.ErrInUse) && err.Error() != h.fault { // once, however often it is tried
+		h.fault = err.Error()
+		h.host.Log("kept", "code", "unopened", "error", err)
+	}
+	h.mu.Lock()
+	if err == nil && h.ended {
+		h.mu.Unlock()
+		k.Ended(now())
+		return
+	}
+	if err == nil {
+		h.k = k
+	}
+	h.m.Opened(now(), err == nil)
+	h.mu.Unlock()
+	if err == nil {
+		h.host.Tell(core.Adopt{Table: t})
+	}
+}
+
+// release lets the journal go: nothing of it is in hand.
+func (h *Holder) release() {
+	h.mu.Lock()
+	k := h.k
+	h.k = nil
+	h.mu.Unlock()
+	if k != nil {
+		k.Ended(now() + releaseFor)
+		<-k.done
+	}
+	h.host.Log("kept", "code", "released")
+	h.tell(func(m *custody.Machine) { m.Closed(now()) })
+}
+
+// releaseFor is how long the close of a journal may take before that is logged, in milliseconds.
+const releaseFor = 1000
+
+// Carry takes an output of the core that is for the journal.
+func (h *Holder) Carry(o core.Output) {
+	if _, ok := o.(core.Released); ok {
+		h.tell((*custody.Machine).Released)
+		return
+	}
+	h.mu.Lock()
+	k := h.k
+	h.mu.Unlock()
+	if k != nil {
+		k.Carry(o)
+	}
+}
+
+// Ready, Reload and Leaving have no meaning here: what the node has read is answered, and that needs the journal.
+func (h *Holder) Ready(bool)      {}
+func (h *Holder) Reload()         {}
+func (h *Holder) Leaving(float64) {}
+
+// Succeeded tells that another process of the node takes over, or is lost.
+func (h *Holder) Succeeded(on bool) { h.tell(func(m *custody.Machine) { m.Succeeded(on) }) }
+
+// Ended writes what is left, as far as there is time.
+func (h *Holder) Ended(by float64) {
+	h.mu.Lock()
+	h.ended = true
+	k := h.k
+	h.mu.Unlock()
+	close(h.over)
+	if k != nil {
+		k.Ended(by)
+	}
+}
--- a/internal/kept/kept.go
+++ b/internal/kept/kept.go
@@ -114,12 +114,6 @@
 	}
 }
 
-// Ready, Reload and Leaving have no meaning here: what the node has read is answered, and that needs the journal.
-func (k *Keeper) Ready(bool)      {}
-func (k *Keeper) Reload()         {}
-func (k *Keeper) Succeeded(bool)  {}
-func (k *Keeper) Leaving(float64) {}
-
 // Ended writes what is left, as far as there is time.
 func (k *Keeper) Ended(by float64) {
 	close(k.over)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -80,7 +80,7 @@
 	away   atomic.Bool // operators have sent the clients away
 
 	folderAt  func(path string) (folder.Folder, error)
-	keeper    *kept.Keeper // nil: no results are kept
+	holder    *kept.Holder // nil: no results are kept
 	parts     []Part       // what the operator's file turns on, see parts.go
 	peerAddr  string       // of the peer port
 	listeners []net.Listener
@@ -159,10 +159,10 @@
 
 // Listen opens the listeners of all fronts and takes connections on them. Requests wait for Run.
 func (n *Node) Listen() error {
-	if err := n.keep(); err != nil {
+	if err := n.succeed(); err != nil {
 		return err
 	}
-	if err := n.succeed(); err != nil {
+	if err := n.keep(); err != nil {
 		return err
 	}
 	fronts := []struct {
@@ -326,8 +326,8 @@
 		n.deafen()
 	case core.Line:
 		n.log(o.Word, o.Pairs...)
-	case core.Append, core.Fetch, core.DropSegment:
-		n.keeper.Carry(o)
+	case core.Append, core.Fetch, core.DropSegment, core.Released:
+		n.holder.Carry(o)
 	}
 }
 
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -11,6 +11,7 @@
 	"whinrudder/internal/door"
 	"whinrudder/internal/folder"
 	"whinrudder/internal/kept"
+	"whinrudder/internal/ops"
 	"whinrudder/internal/warmup"
 	"whinrudder/internal/zk"
 )
@@ -70,7 +71,8 @@
 // KeepIn lets results be kept in folders of another kind than those of the disk. It must be called before Listen.
 func (n *Node) KeepIn(at func(path string) (folder.Folder, error)) { n.folderAt = at }
 
-// keep recovers the operations whose results are kept, before any request is read.
+// keep recovers the operations whose results are kept, before any request is read; where another process of the node is
+// there, once that gives them up.
 func (n *Node) keep() error {
 	if !n.op.Kept.On() {
 		return nil
@@ -79,13 +81,17 @@
 	if err != nil {
 		return err
 	}
-	k, t, err := kept.Open(kept.Host{Name: n.cfg.Name, Tell: n.tell, Log: n.log}, dir, n.op.Kept, now())
+	host := kept.Host{Name: n.cfg.Name, Tell: n.tell, Log: n.log}
+	h := kept.NewHolder(host, n.op.Kept.Dir, func(now float64) (*kept.Keeper, *ops.Table, error) {
+		return kept.Open(host, dir, n.op.Kept, now)
+	})
+	t, err := h.Start(n.taken != nil)
 	if err != nil {
 		return fmt.Errorf("kept: %w", err)
 	}
 	n.core.Keep(t, n.site.Terms().Kept)
-	n.keeper, n.parts = k, append(n.parts, k)
-	return k.Run(n.op.Kept.Dir)
+	n.holder, n.parts = h, append(n.parts, h)
+	return nil
 }
 
 // parted tells all parts something.
--- a/internal/ops/disk.go
+++ b/internal/ops/disk.go
@@ -201,7 +201,7 @@
 
 // moves tells whether the oldest segment is to be moved: most of the journal counts no more, or there are many files.
 func (t *Table) moves() bool {
-	if len(t.segs) < 2 || t.failing || t.dropping > 0 {
+	if len(t.segs) < 2 || t.failing || t.dropping > 0 || t.closed {
 		return false
 	}
 	return t.live[t.segs[0].No] == nil || t.disk > 2*t.liveSum+2*t.limits.SegmentBytes || len(t.segs) > segsMost
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -69,10 +69,11 @@
 	WhyFull                 // no more operations are taken
 	WhyStalled              // the disk does not take what must last
 	WhyNotRun               // the request that it waited for was not run
+	WhyMoved                // another process of the node is to have the operations
 )
 
 func (w Why) String() string {
-	return [...]string{"failed", "in-doubt", "other-body", "full", "stalled", "not-run"}[w]
+	return [...]string{"failed", "in-doubt", "other-body", "full", "stalled", "not-run", "moved"}[w]
 }
 
 // An Effect is something that must be done, in order.
@@ -168,6 +169,8 @@
 	waits  map[string]*op // by the ids of requests that wait
 	ages   order.Heap[*op]
 	doubts int
+	ends   int  // operations that are done
+	closed bool // no new ones are taken
 
 	pending []*write // in order
 	failing bool     // the last write did not last
@@ -222,6 +225,8 @@
 	t.expire(now)
 	o := t.ops[key]
 	switch {
+	case o == nil && t.closed:
+		return Verdict{Kind: Refused, Why: WhyMoved}
 	case o == nil && (len(t.ops) >= t.limits.Keys || t.disk >= t.limits.DiskBytes):
 		return Verdict{Kind: Refused, Why: WhyFull}
 	case o == nil && t.Sick(now):
@@ -414,12 +419,11 @@
 
 // turn brings an operation to a state.
 func (t *Table) turn(o *op, s State, now float64) {
-	if o.state == Doubt {
-		t.doubts--
-	}
+	t.uncount(o)
 	t.ages.Remove(&o.age)
 	switch s {
 	case Done:
+		t.ends++
 		t.ages.Set(&o.age, o.at+t.limits.AgeMs)
 	case Doubt:
 		t.doubts++
@@ -432,9 +436,7 @@
 
 // forget takes an operation out of the table.
 func (t *Table) forget(o *op) {
-	if o.state == Doubt {
-		t.doubts--
-	}
+	t.uncount(o)
 	t.ages.Remove(&o.age)
 	t.unplace(o)
 	o.gone = true
@@ -446,6 +448,24 @@
 	}
 }
 
+// uncount takes an operation out of those of its state.
+func (t *Table) uncount(o *op) {
+	switch o.state {
+	case Doubt:
+		t.doubts--
+	case Done:
+		t.ends--
+	}
+}
+
+// Close lets the table take no new operations, or take them again. Those in hand go on, and their repeats wait for them.
+func (t *Table) Close(on bool) { t.closed = on }
+
+// Idle tells that nothing is in hand: every operation is done or in doubt, and all that was to be written lasts.
+func (t *Table) Idle() bool {
+	return len(t.ops) == t.ends+t.doubts && len(t.pending) == 0 && len(t.waits) == 0 && t.dropping == 0
+}
+
 // expire forgets what is old enough.
 func (t *Table) expire(now float64) {
 	for o, ok := t.ages.Pop(now); ok; o, ok = t.ages.Pop(now) {
--- a/internal/ops/ops_test.go
+++ b/internal/ops/ops_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -447,3 +448,44 @@
 		t.Errorf("%+v", v)
 	}
 }
+
+// A table that is closed takes no new operations and ends those in hand: it is idle once each is done or in doubt and all of
+// it lasts, repeats that wait included.
+func TestClosedTableComesToRest(t *testing.T) {
+	x := New(Limits{Keys: 10, DiskBytes: 1 << 20, SegmentBytes: 1 << 16, AgeMs: 1e6, DoubtMs: 1e6})
+	lasts := func(n int) {
+		x.Durable(1, make([]journal.Place, n), nil)
+		x.Effects()
+	}
+	for _, id := range []string{"a", "b"} {
+		x.Begin(0, id, "key-"+id, [digestSize]byte{})
+		x.Intend(0, id)
+	}
+	lasts(2)
+	x.Close(true)
+	idle := []bool{x.Idle()}
+	if v := x.Begin(1, "c", "key-c", [digestSize]byte{}); v.Kind != Refused || v.Why != WhyMoved {
+		t.Error(v)
+	}
+	if v := x.Begin(1, "d", "key-a", [digestSize]byte{}); v.Kind != Waits {
+		t.Error(v)
+	}
+	x.Wait(1, "d", "key-a")
+	x.Finish(2, "a", true, nil)
+	idle = append(idle, x.Idle())
+	lasts(1)
+	idle = append(idle, x.Idle())
+	x.Doubtful(3, "b")
+	idle = append(idle, x.Idle())
+	x.Resolve(4, "key-b", journal.NotRun, nil, "")
+	idle = append(idle, x.Idle())
+	lasts(1)
+	idle = append(idle, x.Idle())
+	if want := []bool{false, false, false, true, false, true}; !slices.Equal(idle, want) {
+		t.Errorf("idle %v, want %v", idle, want)
+	}
+	x.Close(false)
+	if v := x.Begin(5, "c", "key-c", [digestSize]byte{}); v.Kind != Leads {
+		t.Error(v)
+	}
+}
--- a/internal/rehearse/command.go
+++ b/internal/rehearse/command.go
@@ -21,7 +21,7 @@
 func Shipped() (out []Exchange) {
 	for _, d := range []struct{ dir, protocol string }{
 		{"all", "http"}, {"all", "uwsgi"}, {"all", "h2c"}, {"h2c", "h2c"}, {"http", "http"}, {"uwsgi", "uwsgi"}, {"peer", "http"},
-		{"kept", "http"}, {"kept", "uwsgi"}, {"kept", "h2c"}, {"door", "http"}, {"upgrade", "http"},
+		{"kept", "http"}, {"kept", "uwsgi"}, {"kept", "h2c"}, {"door", "http"}, {"upgrade", "http"}, {"moved", "http"},
 	} {
 		files, _ := fs.Glob(shipped, "exchanges/"+d.dir+"/*.txt")
 		for _, f := range files {
--- a/internal/rehearse/logbook.go
+++ b/internal/rehearse/logbook.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -9,11 +10,12 @@
 
 // logBook takes the node's log and finds the lines that connections left.
 type logBook struct {
-	mu     sync.Mutex
-	codes  map[string][]string
-	loads  []string // of the reloads
-	handed []string // of handovers
-	more   chan struct{}
+	mu      sync.Mutex
+	codes   map[string][]string
+	loads   []string            // of the reloads
+	handed  map[string][]string // of handovers, by side: two processes write
+	custody map[string]int      // how often each word on who has the journal came
+	more    chan struct{}
 
 	streams map[string][]string // by peer: the codes of streams that could not be read, and of moves to another process
 	taken   map[string][]string // by donor: the codes of the connections to it
@@ -22,7 +24,7 @@
 }
 
 func newLogBook() *logBook {
-	return &logBook{codes: map[string][]string{}, taken: map[string][]string{}, streams: map[string][]string{}, more: make(chan struct{}, 1)}
+	return &logBook{codes: map[string][]string{}, handed: map[string][]string{}, custody: map[string]int{}, taken: map[string][]string{}, streams: map[string][]string{}, more: make(chan struct{}, 1)}
 }
 
 // Write takes one line of the log.
@@ -45,7 +47,9 @@
 	case word == "peer" && f["code"] == "over":
 		b.over = append(b.over, f["donors"])
 	case word == "handover" && f["code"] != "end": // of the own end
-		b.handed = append(b.handed, f["side"]+" "+f["code"])
+		b.handed[f["side"]] = append(b.handed[f["side"]], f["code"])
+	case word == "kept" && slices.Contains(custodians, f["code"]):
+		b.custody[f["code"]]++
 	case word == "conn" && f["code"] == "moved": // the connection goes on at another process
 		b.streams[peer] = append(b.streams[peer], f["code"])
 	case word == "reload":
@@ -82,8 +86,29 @@
 // reload waits for the line of the next reload.
 func (b *logBook) reload() string { return b.wait(func() string { return b.shift(&b.loads) }) }
 
-// handover waits for the next line of a handover.
-func (b *logBook) handover() string { return b.wait(func() string { return b.shift(&b.handed) }) }
+// handover waits for the next line of a side of a handover.
+func (b *logBook) handover(side string) string {
+	return b.wait(func() (text string) {
+		list := b.handed[side]
+		text = b.shift(&list)
+		b.handed[side] = list
+		return text
+	})
+}
+
+// custodians are the words on who has the journal. Two processes write them, in no order.
+var custodians = []string{"yielding", "resumed", "released", "adopted", "unopened"}
+
+// custodian waits for a word on who has the journal.
+func (b *logBook) custodian(word string) string {
+	return b.wait(func() string {
+		if b.custody[word] == 0 {
+			return ""
+		}
+		b.custody[word]--
+		return word
+	})
+}
 
 // shift takes the first of a list, if there is one. It is called by wait.
 func (b *logBook) shift(list *[]string) (text string) {
--- a/internal/rehearse/player.go
+++ b/internal/rehearse/player.go
@@ -34,6 +34,7 @@
 //	                           own; the steps that follow are of that one
 //	former STEP                a step of the process that was there before
 //	fall                       the present process is killed, and the former one is the present one again
+//	custody CODE               waits for a line of the log on who has the journal of kept operations
 //	handover SIDE CODE         the next line of the log that tells of a handover
 //	restart                    the node is killed, and another is started on what it left
 //	resolve KEY HOW [RESULT] [=> WHY]   an operator's word on a kept operation: finished, failed or not-run; WHY it fails
@@ -196,7 +197,9 @@
 	case "fall":
 		return line, p.fall()
 	case "handover":
-		return "handover " + p.log.handover(), nil
+		return "handover " + name + " " + p.log.handover(name), nil
+	case "custody":
+		return "custody " + p.log.custodian(name), nil
 	case "held":
 		for late := time.Now().Add(patience); fmt.Sprint(p.node.InHand()) != rest && time.Now().Before(late); {
 			time.Sleep(time.Millisecond)
