--- a/client/source.go
+++ b/client/source.go
@@ -21,13 +21,21 @@
 	tick := time.NewTicker(fileEvery)
 	defer tick.Stop()
 	var last os.FileInfo
+	var looked time.Time
 	for {
+		now := time.Now()
 		if info, err := os.Stat(string(f)); err == nil && (last == nil || info.ModTime() != last.ModTime() || info.Size() != last.Size() || !os.SameFile(info, last)) {
 			if nodes, ok := f.read(); ok {
+				age := max(0, now.Sub(info.ModTime()))
+				if last != nil {
+					// It came since the last look, whatever its time says: clocks are set back, and files are copied with theirs.
+					age = min(age, now.Sub(looked))
+				}
 				last = info
-				list(info.ModTime(), nodes)
+				list(now.Add(-age), nodes)
 			}
 		}
+		looked = now
 		select {
 		case <-ctx.Done():
 			return
--- a/client/source_test.go
+++ b/client/source_test.go
@@ -51,6 +51,39 @@
 	<-ended
 }
 
+// A clock that is set back, or a file that is copied with its time, must not make a new list pass for an old one.
+func TestFileOfAnEarlierTime(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "nodes")
+	write := func(text string, at time.Time) {
+		t.Helper()
+		if err := os.WriteFile(path+".new", []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		os.Chtimes(path+".new", at, at)
+		if err := os.Rename(path+".new", path); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("a 127.0.0.1:1\n", time.Now().Add(time.Hour))
+	c, err := New(Options{Source: File(path), Classes: classes})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	nodes := func(n int) {
+		t.Helper()
+		for late := time.Now().Add(30 * time.Second); c.Nodes() != n && time.Now().Before(late); {
+			time.Sleep(10 * time.Millisecond)
+		}
+		if c.Nodes() != n {
+			t.Fatalf("%d nodes, want %d", c.Nodes(), n)
+		}
+	}
+	nodes(1)
+	write("a 127.0.0.1:1\nb 127.0.0.1:2\n", time.Now().Add(-time.Hour))
+	nodes(2)
+}
+
 // BenchmarkDo is a whole call over loopback, by protocol, beside Go's own client at the same node.
 func BenchmarkDo(b *testing.B) {
 	for _, p := range []Protocol{HTTP, H2C, UWSGI} {
--- a/internal/client/members/members_test.go
+++ b/internal/client/members/members_test.go
@@ -49,6 +49,8 @@
 		{"a list that loses most leaves them as a last resort", func(m *Members) { m.List(1000, 1000, nodes("a")); m.Leaves(1100, "a") }, 1200,
 			[]string{"b", "c", "d"}},
 		{"while one is up they are not used", func(m *Members) { m.List(1000, 1000, nodes("a")) }, 1200, []string{"a"}},
+		{"a list of the future is one of now", func(m *Members) { m.List(100, 1e9, nodes("a", "b", "c", "d", "e")); m.Leaves(200, "e") }, 300,
+			[]string{"a", "b", "c", "d"}},
 		{"a draining mark", func(m *Members) { m.List(1000, 900, []Node{{Name: "a", Draining: true}, {Name: "b"}}) }, 1100, []string{"b"}},
 		{"a node nobody knows says things", func(m *Members) { m.Leaves(100, "x"); m.Stays(100, "x") }, 200, []string{"a", "b", "c", "d"}},
 	} {
