Read why a process was turned away, though the other closed first

The running process refuses and closes at once; where that came before the successor's hello, its write failed and the reason that lay unread was never looked at (internal/upgrade/taking.go, the write before step). What waits is read now, and the write's error counts only where there is no reason. The refusal is logged before it is sent, as the other process ends with it.

TestRefusedBeforeItAsks fails without the change.

--- a/internal/upgrade/giving.go
+++ b/internal/upgrade/giving.go
@@ -29,9 +29,9 @@
 
 // refuse ends a connection that is not taken.
 func (g *giving) refuse(code string) {
+	g.u.h.Log("handover", "side", "give", "code", code) // first: the other process ends with its answer
 	g.pipe.write([]handover.Message{{Bytes: peer.AppendRefuse(nil, code)}}, now()+writeFor, nil)
 	g.pipe.close()
-	g.u.h.Log("handover", "side", "give", "code", code)
 }
 
 // move hands a connection over.
--- a/internal/upgrade/taking.go
+++ b/internal/upgrade/taking.go
@@ -10,6 +10,7 @@
 	"whinrudder/internal/core"
 	"whinrudder/internal/handover"
 	"whinrudder/internal/knowledge"
+	"whinrudder/internal/peer"
 )
 
 // taking is the connection to the process that this one succeeds.
@@ -42,9 +43,10 @@
 	taken := &Taken{Listeners: map[string]*net.TCPListener{}}
 	by := now() + takeFor
 	for !t.machine.Whole() {
-		err := t.pipe.write(t.machine.Out(), now()+writeFor, nil)
-		if err == nil {
-			err = t.step(min(by, t.machine.Wake()), func(e handover.Event) error { return t.first(e, taken) })
+		unsaid := t.pipe.write(t.machine.Out(), now()+writeFor, nil)
+		err := t.step(min(by, t.machine.Wake()), func(e handover.Event) error { return t.first(e, taken) })
+		if err == nil || !errors.As(err, new(*peer.Fault)) {
+			err = errors.Join(unsaid, err) // one that refuses may close before it is asked: its reason waits to be read
 		}
 		if err == nil && now() >= by {
 			err = errors.New("the running process did not hand over in time")
