Answer all that a client proxy accepted when it ends

A drain under load left up to 16 of some 2,200 calls without an answer in 30 of 96 drains (16 at once on four cores). Two causes: closing a listener resets what nobody had accepted, and http.Server.Shutdown ends connections on which it reads a request after its call (cmd/whinrudder-kit/proxy.go, serveAll). Package lastcall accepts until nothing waits and shuts the socket with the next system call; proxy.Server calls Shutdown once no connection is new or active. First requests, bodies and connections at rest have a bound in time.

Without the wait TestServerAnswersWhatItAccepted fails each time. A filter against SYN was ruled out: the kernel at hand has none.

--- a/cmd/whinrudder-kit/proxy.go
+++ b/cmd/whinrudder-kit/proxy.go
@@ -22,13 +22,6 @@
 	"whinrudder/internal/client/proxy"
 )
 
-// A proxy that is told to end says so with each answer for leaveFor: connections that are used end so with nothing in hand. Then
-// it takes nothing new, and waits until drainFor after the notice for what it has in hand.
-const (
-	leaveFor = 2 * time.Second
-	drainFor = 15 * time.Second
-)
-
 // classesOf reads the classes of a command line: NAME, or NAME:write.
 func classesOf(words []string, hedge bool) (out []client.Class, err error) {
 	for _, w := range words {
@@ -91,30 +84,33 @@
 			defer l.Close()
 			ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 			defer stop()
-			front := &proxy.Front{Handler: proxy.Handler(l)}
-			servers := []*http.Server{{Addr: c.String("listen"), Handler: front, ReadHeaderTimeout: 10 * time.Second}}
+			front, err := proxy.Listen(c.String("listen"), proxy.Handler(l))
+			if err != nil {
+				return err
+			}
+			servers := []*proxy.Server{front}
 			if addr := c.String("metrics"); addr != "" {
 				r := prometheus.NewRegistry()
 				r.MustRegister(m)
 				mux := http.NewServeMux()
 				mux.Handle("GET /metrics", promhttp.HandlerFor(r, promhttp.HandlerOpts{}))
-				servers = append(servers, &http.Server{Addr: addr, Handler: mux, ReadHeaderTimeout: 10 * time.Second})
+				figures, err := proxy.Listen(addr, mux)
+				if err != nil {
+					return err
+				}
+				servers = append(servers, figures)
 			}
-			return serveAll(ctx, out, front, servers)
+			return serveAll(ctx, out, servers)
 		},
 	}
 }
 
-// serveAll serves until the context is done, and then answers what is in hand.
-func serveAll(ctx context.Context, out io.Writer, front *proxy.Front, servers []*http.Server) error {
+// serveAll serves until the context is done, or one server fails, and then ends all with what they have in hand answered.
+func serveAll(ctx context.Context, out io.Writer, servers []*proxy.Server) error {
 	failed := make(chan error, len(servers))
 	for _, s := range servers {
-		l, err := net.Listen("tcp", s.Addr)
-		if err != nil {
-			return err
-		}
-		fmt.Fprintf(out, "listening on %s\n", l.Addr())
-		go func() { failed <- s.Serve(l) }()
+		fmt.Fprintf(out, "listening on %s\n", s.Addr())
+		go func() { failed <- s.Serve() }()
 	}
 	var err error
 	select {
@@ -122,17 +118,12 @@
 	case <-ctx.Done():
 	}
 	notice := time.Now()
-	by, cancel := context.WithDeadline(context.Background(), notice.Add(drainFor))
-	defer cancel()
-	if err == nil {
-		front.Leave()
-		time.Sleep(time.Until(notice.Add(leaveFor)))
-	}
+	ended := make(chan error, len(servers))
 	for _, s := range servers {
-		err = errors.Join(err, s.Shutdown(by))
+		go func() { ended <- s.End(notice) }()
 	}
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
+	for range servers {
+		err = errors.Join(err, <-ended)
 	}
 	return err
 }
--- a/cmd/whinrudder-kit/proxy_test.go
+++ b/cmd/whinrudder-kit/proxy_test.go
@@ -44,11 +44,14 @@
 		t.Fatal(err)
 	}
 	defer c.Close()
-	front := &proxy.Front{Handler: proxy.Handler(c)}
+	server, err := proxy.Listen("127.0.0.1:0", proxy.Handler(c))
+	if err != nil {
+		t.Fatal(err)
+	}
 	ctx, stop := context.WithCancel(t.Context())
 	out, ended := make(listenLine, 1), make(chan error, 1)
 	go func() {
-		ended <- serveAll(ctx, out, front, []*http.Server{{Addr: "127.0.0.1:0", Handler: front, ReadHeaderTimeout: 10 * time.Second}})
+		ended <- serveAll(ctx, out, []*proxy.Server{server})
 	}()
 	addr := strings.TrimSpace(strings.TrimPrefix(<-out, "listening on "))
 	var served, turned atomic.Int64
@@ -98,7 +101,7 @@
 	}
 	lost := 0
 	wrong.Range(func(k, _ any) bool {
-		// Only a connection that was accepted as the listener closed may end unread: nothing was run for it.
+		// Only a connection that was established at the very close of the listener may end unread, with nothing run for it.
 		body, _, _ := strings.Cut(k.(string), " ")
 		if mu.Lock(); ran[body] > 0 {
 			t.Error(k)
@@ -112,8 +115,8 @@
 			t.Errorf("%s ran %d times, refused: %v", body, n, told)
 		}
 	}
-	if served.Load() < 200 || lost > 16 || turned.Load() == 0 {
+	if served.Load() < 200 || lost > 3 || turned.Load() == 0 {
 		t.Errorf("%d served, %d ended unread, %d refused at last", served.Load(), lost, turned.Load())
 	}
-	t.Logf("%d served, %d ended unread at the close, %d refused at last", served.Load(), lost, turned.Load())
+	t.Logf("%d served, %d ended unread, %d refused at last", served.Load(), lost, turned.Load())
 }
--- a/internal/client/proxy/proxy.go
+++ b/internal/client/proxy/proxy.go
@@ -80,12 +80,23 @@
 	return from.Add(time.Duration(wait * float64(time.Millisecond))), true, false
 }
 
+// requestOf reads a request, whose body must come within sayFor.
+func requestOf(w http.ResponseWriter, r *http.Request) (client.Request, error) {
+	by := http.NewResponseController(w)
+	by.SetReadDeadline(time.Now().Add(sayFor))
+	q, err := client.RequestOf(r)
+	if err == nil {
+		by.SetReadDeadline(time.Time{})
+	}
+	return q, err
+}
+
 func call(c *client.Client, w http.ResponseWriter, r *http.Request) {
 	fail := func(status int, reason string) {
 		w.Header().Set("Srv-Reason", reason)
 		w.WriteHeader(status)
 	}
-	q, err := client.RequestOf(r)
+	q, err := requestOf(w, r)
 	if err != nil {
 		fail(http.StatusBadRequest, "bad-request")
 		return
