--- a/internal/client/members/members.go
+++ b/internal/client/members/members.go
@@ -80,8 +80,8 @@
 	return &Members{self: self, subset: subset, byName: map[string]*Member{}, empty: math.Inf(1), useAt: math.Inf(-1)}
 }
 
-// List takes a list that was made at a time, which may be before now; one of the future was made now. One that is older than the latest is passed over, and
-// ok is false; of one that is too long the first MaxNodes count.
+// List takes a list that was made at a time, which may be before now; one of the future was made now. One that is older than
+// the latest is passed over, and ok is false; of one that is too long the first MaxNodes count.
 func (m *Members) List(now, made float64, nodes []Node) (ok bool) {
 	if made = min(made, now); made < m.listAt && m.heard {
 		return false
--- a/internal/kept/holder.go
+++ b/internal/kept/holder.go
@@ -168,7 +168,7 @@
 // Succeeded tells that another process of the node takes over, or is lost.
 func (h *Holder) Succeeded(on bool) { h.tell(func(m *custody.Machine) { m.Succeeded(on) }) }
 
-// Ended writes what is left, as far as there is time.
+// Ended writes what is left, and ends a try or a close that is under way, as far as there is time.
 func (h *Holder) Ended(by float64) {
 	h.mu.Lock()
 	h.ended = true
@@ -178,4 +178,10 @@
 	if k != nil {
 		k.Ended(by)
 	}
+	late := time.NewTimer(time.Until(time.UnixMicro(int64(by * 1e3))))
+	defer late.Stop()
+	select {
+	case <-h.done:
+	case <-late.C:
+	}
 }
--- a/internal/lastcall/lastcall.go
+++ b/internal/lastcall/lastcall.go
@@ -18,13 +18,22 @@
 type Listener struct {
 	*net.TCPListener
 	leaving atomic.Bool
+	accept  func(fd int) (int, error) // as unix.Accept4; tests put their own
 	once    sync.Once
 	err     error         // of the close
 	gone    chan struct{} // closed with the listener
 }
 
 // New returns a listener that can leave.
-func New(l *net.TCPListener) *Listener { return &Listener{TCPListener: l, gone: make(chan struct{})} }
+func New(l *net.TCPListener) *Listener {
+	return &Listener{TCPListener: l, gone: make(chan struct{}), accept: func(fd int) (int, error) {
+		n, _, err := unix.Accept4(fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		return n, err
+	}}
+}
+
+// againFor is the pause after an accept for which the system had no room.
+const againFor = 5 * time.Millisecond
 
 // Accept implements net.Listener. After Leave it returns what waits, without waiting itself, and then net.ErrClosed.
 func (l *Listener) Accept() (net.Conn, error) {
@@ -42,6 +51,9 @@
 			return nil, net.ErrClosed
 		case errors.Is(err, unix.ECONNABORTED), errors.Is(err, unix.EINTR):
 			continue // that caller is gone
+		case errors.Is(err, unix.EMFILE), errors.Is(err, unix.ENFILE), errors.Is(err, unix.ENOBUFS), errors.Is(err, unix.ENOMEM):
+			time.Sleep(againFor) // what is in hand ends and makes room; Leave has an end
+			continue
 		}
 		return c, err
 	}
@@ -56,7 +68,7 @@
 	}
 	fd, bad := -1, error(nil)
 	err = raw.Control(func(s uintptr) {
-		if fd, _, bad = unix.Accept4(int(s), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC); bad == unix.EAGAIN {
+		if fd, bad = l.accept(int(s)); bad == unix.EAGAIN {
 			unix.Shutdown(int(s), unix.SHUT_RD)
 		}
 	})
--- a/internal/lastcall/lastcall_test.go
+++ b/internal/lastcall/lastcall_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"go.uber.org/goleak"
+	"golang.org/x/sys/unix"
 )
 
 func listen(t *testing.T) *Listener {
@@ -115,3 +116,47 @@
 		t.Error(err)
 	}
 }
+
+// A process that is out of descriptors as it leaves takes who waits once there is room, and ends by its time if there never is.
+func TestOutOfDescriptors(t *testing.T) {
+	for _, room := range []bool{true, false} {
+		l := listen(t)
+		c := dial(t, l, "question")
+		real, tries := l.accept, 0
+		l.accept = func(fd int) (int, error) {
+			if tries++; tries < 4 || !room {
+				return -1, unix.EMFILE
+			}
+			return real(fd)
+		}
+		left := make(chan error, 1)
+		by := time.Now().Add(20 * time.Second)
+		if !room {
+			by = time.Now().Add(50 * time.Millisecond)
+		}
+		go func() { left <- l.Leave(by) }()
+		for !l.leaving.Load() {
+			time.Sleep(time.Millisecond)
+		}
+		got, err := l.Accept()
+		if !room {
+			if !errors.Is(err, net.ErrClosed) {
+				t.Error(got, err)
+			}
+		} else if err != nil {
+			t.Error(err)
+		} else {
+			fmt.Fprint(got, "answer")
+			got.Close()
+			if b, err := io.ReadAll(c); string(b) != "answer" {
+				t.Errorf("%q %v", b, err)
+			}
+			if _, err := l.Accept(); !errors.Is(err, net.ErrClosed) {
+				t.Error(err)
+			}
+		}
+		if err := <-left; err != nil {
+			t.Error(err)
+		}
+	}
+}
--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -181,6 +181,37 @@
 	next.u.Ended(now() + 5000)
 }
 
+// Once a lost successor is told of, the process that goes on can be succeeded again.
+func TestLostSuccessor(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	dir, l := t.TempDir(), listen(t)
+	defer l.Close()
+	addr := l.Addr().String()
+	old := newToy(t, dir, l, addr)
+	old.u.Offer()
+	for range 3 {
+		next := newToy(t, dir, nil, addr)
+		got, err := next.u.Take()
+		if got == nil || err != nil {
+			t.Fatal(got, err)
+		}
+		next.u.Ready(true)
+		var lines []string
+		for range 2 {
+			lines = append(lines, old.next(t))
+		}
+		got.Listeners["http"].Close()
+		next.u.Ended(now() + 5000)
+		for range 2 {
+			lines = append(lines, old.next(t))
+		}
+		if diff := cmp.Diff([]string{"give succeeded", "succeeded true", "succeeded false", "give lost"}, lines); diff != "" {
+			t.Fatal(diff)
+		}
+	}
+	old.u.Ended(now() + 5000)
+}
+
 // Whatever comes to the socket, the running process goes on as it was, and can be succeeded.
 func TestHostileSuccessors(t *testing.T) {
 	defer goleak.VerifyNone(t)
