Start a node where the system refuses Unix sockets, and log refused dials

Also, a link to the worker pool or reports that the system refuses (EMFILE, say) were tried again for ever without a line: dialLink (internal/node/link.go) and announce (internal/node/reports.go) dropped the error.

Ruled out: Offer already logs `off` and goes on; accept logs and tries again; io.CopyN to io.Discard reads through a LimitedReader, so that the net package neither splices nor sends files; no front or part that `run` turns on starts a program (templates are evaluated in a child process only for an operator's Jsonnet file).

Change: a refusal by errno that is no time-out counts as nobody there, with a line `handover side=take code=off`; where a process is there all the same, its address is in use and the start ends with that. EAGAIN, a full queue of a process that hangs, still ends the start. Lines `link code=dial` and `announce code=dial`, one for each reason.

--- a/internal/node/link.go
+++ b/internal/node/link.go
@@ -27,6 +27,8 @@
 	machine *pool.Link
 	pushed  bool
 	c       net.Conn
+
+	refused string // why the last try to connect failed; of the goroutine of run
 }
 
 func (l *link) push(o core.Output) {
@@ -82,7 +84,7 @@
 		if c == nil {
 			time.Sleep(time.Until(at(again)))
 			again = now() + linkAgain
-			if c = dialLink(l.to()); c == nil {
+			if c = l.dial(); c == nil {
 				continue
 			}
 		}
@@ -100,13 +102,20 @@
 	}
 }
 
-// dialLink connects to the worker pool, which is on the same machine, or returns nil.
-func dialLink(addr string) *wire {
+// dial connects to the worker pool, which is on the same machine, or returns nil. Tries that fail for one reason in a row
+// leave one line: they come every linkAgain.
+func (l *link) dial() *wire {
+	addr := l.to()
 	d := net.Dialer{Deadline: at(now() + linkDial)}
 	c, err := d.Dial("tcp", addr)
 	if err != nil {
+		if l.refused != err.Error() {
+			l.refused = err.Error()
+			l.node.log("link", "pool", addr, "code", "dial", "error", err)
+		}
 		return nil
 	}
+	l.refused = ""
 	return &wire{c, addr}
 }
 
@@ -122,7 +131,7 @@
 	for {
 		if next == nil && l.to() != c.addr && now() >= again {
 			again = now() + linkAgain
-			if next = dialLink(l.to()); next != nil {
+			if next = l.dial(); next != nil {
 				leaveBy = now() + linkLeave
 				l.mu.Lock()
 				out = append(out, l.machine.Leave()...)
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -40,14 +40,21 @@
 // announce reports to the announce service until the node ends.
 func (n *Node) announce() {
 	var c net.Conn
-	addr := ""
+	addr, refused := "", ""
 	for {
 		if to := n.reports.to(); c == nil || to != addr {
 			if c != nil {
 				c.Close()
 			}
 			addr = to
-			c, _ = net.Dial("udp", addr)
+			why, err := "", error(nil)
+			if c, err = net.Dial("udp", addr); err != nil {
+				why = err.Error()
+			}
+			if why != "" && why != refused { // the next round tries again, and leaves no line for the same reason
+				n.log("announce", "to", addr, "code", "dial", "error", err)
+			}
+			refused = why
 		}
 		next := now() + announce.Every
 		if c != nil && !n.moving.Load() { // a successor reports under the same name
--- a/internal/upgrade/taking.go
+++ b/internal/upgrade/taking.go
@@ -36,6 +36,12 @@
 	if errors.Is(err, fs.ErrNotExist) || errors.Is(err, syscall.ECONNREFUSED) {
 		return nil, nil // nobody was here, or what was here has ended
 	}
+	if refused := syscall.Errno(0); errors.As(err, &refused) && !refused.Timeout() {
+		// The system has no such sockets here, or no way there: who could be asked is not. Where a process is there all
+		// the same, its address is in use, and the start ends with that.
+		u.h.Log("handover", "side", "take", "code", "off", "error", err)
+		return nil, nil
+	}
 	if err != nil {
 		return nil, fmt.Errorf("handover: %w", err)
 	}
--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -324,3 +324,23 @@
 		t.Errorf("%v after %v ms", err, now()-begun)
 	}
 }
+
+// A system without such sockets must not keep a process from starting: it starts as one that nobody was before, and says so.
+func TestStartsWhereTheSystemRefuses(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "no-folder")
+	if err := os.WriteFile(file, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	n := newToy(t, file, nil, "127.0.0.1:9") // connecting by way of a file is refused with ENOTDIR
+	taken, err := n.u.Take()
+	if taken != nil || err != nil {
+		t.Errorf("took %v: %v", taken, err)
+	}
+	if diff := cmp.Diff("take off", n.next(t)); diff != "" {
+		t.Error(diff)
+	}
+	n.u.Offer()
+	if l := n.next(t); !strings.HasPrefix(l, "off ") {
+		t.Error(l)
+	}
+}
