Write the last answers of a drain before the connections are closed

Cause: in the last 250 ms before the stop the core ends once all is answered (Core.leave), often in the very step that answers the last request. Node.loop hands the answer to the mailbox (ticket.Deliver) and returns; connTable.closeAll (internal/node/conn.go) then closed the connection before its goroutine, which has one core with all others, had a turn to write. At 60 ms before the stop, where whatever is open is failed, it is always so. Rare in one node, sure in a release of hundreds.

Ruled out: the listener's close (the connection was accepted and its request read), the caller's end (no `gone`), the request's due time (no `left-open`), a slow peer (the answer was never written).

Change: at the end each connection first writes what is in its mailbox, for 40 ms at most, then those left are cut.

--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -60,6 +60,7 @@
 	mu      sync.Mutex // of what follows
 	mail    []letter
 	leaving bool // the node wants no more requests
+	ending  bool // and has ended: what is in the mailbox is the last
 	called  bool // the deadline was set by the core's goroutine
 
 	wake    float64   // the deadline as it was set last; -1: it is over
@@ -130,6 +131,13 @@
 	return len(k.mail) > 0 || k.leaving && !k.left
 }
 
+// ends tells that the node has ended and nothing is left in the mailbox.
+func (k *conn) ends() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.ending && len(k.mail) == 0
+}
+
 // take hands what is in the mailbox to the protocol.
 func (k *conn) take(t float64) {
 	k.mu.Lock()
@@ -232,6 +240,9 @@
 		if k.mailed() {
 			continue // it came before the deadline was set, which may have undone its call
 		}
+		if k.ends() {
+			return "drain"
+		}
 		if k.node.moving.Load() && k.moves() {
 			return "moved"
 		}
@@ -404,31 +415,46 @@
 
 // leaveAll tells all connections that the node wants no more requests.
 func (t *connTable) leaveAll() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for k := range t.all {
-		k.leave()
-	}
+	t.each((*conn).leave)
 }
 
 // wakeAll makes all connections look at their deadlines again.
 func (t *connTable) wakeAll() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for k := range t.all {
-		k.c.SetReadDeadline(past)
-	}
+	t.each(func(k *conn) { k.c.SetReadDeadline(past) })
 }
 
-// closeAll ends all connections and waits, for a moment, for their lines in the log.
+// Times of the end, in milliseconds: connections write what is in their mailboxes, then those that are left are cut, and their
+// lines in the log are waited for.
+const (
+	answersFor = 40
+	linesFor   = 10
+)
+
+// closeAll ends all connections. The step that ends the node may also answer its last requests: they are written first.
 func (t *connTable) closeAll() {
+	t.each(func(k *conn) {
+		k.mu.Lock()
+		k.ending, k.called = true, true
+		k.mu.Unlock()
+		k.c.SetReadDeadline(past)
+	})
+	t.empty(now() + answersFor)
+	t.each(func(k *conn) { k.c.Close() })
+	t.empty(now() + linesFor)
+}
+
+// each does something with all connections.
+func (t *connTable) each(do func(*conn)) {
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	for k := range t.all {
-		k.c.SetReadDeadline(past)
-		k.c.Close()
+		do(k)
 	}
-	t.mu.Unlock()
-	for by := now() + 50; now() < by; time.Sleep(time.Millisecond) {
+}
+
+// empty waits until there are no connections, or until an absolute time.
+func (t *connTable) empty(by float64) {
+	for ; now() < by; time.Sleep(time.Millisecond) {
 		t.mu.Lock()
 		left := len(t.all)
 		t.mu.Unlock()
--- a/internal/node/conn_test.go
+++ b/internal/node/conn_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -50,6 +51,37 @@
 	}
 }
 
+// The step that ends the node may answer its last request: the answer is written before the connection is closed, though its
+// goroutine had no turn since, as on the one core of the platform.
+func TestLastAnswerIsWrittenBeforeTheEnd(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	log := make(lines, 4)
+	n := testNode(log)
+	here, there := net.Pipe()
+	defer there.Close()
+	k := &conn{node: n, c: here, front: "http", proto: front.NewSingle(httpfront.New(n.site), now())}
+	n.conns.add(k)
+	go k.serve()
+	if _, err := there.Write([]byte("GET /health HTTP/1.1\r\n\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	to := (<-n.in).(core.Checked).To
+	read := make(chan string)
+	go func() {
+		b := make([]byte, 4096)
+		got, _ := there.Read(b)
+		read <- string(b[:got])
+	}()
+	to.Deliver(core.Answer{WriteBy: now() + 1000})
+	n.conns.closeAll()
+	if got := <-read; !strings.HasPrefix(got, "HTTP/1.1 200 ") {
+		t.Errorf("the caller read %q", got)
+	}
+	if diff := cmp.Diff("drain served=1", <-log); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // stuck is a log that nobody reads: a write never ends.
 type stuck chan struct{}
 
