Mark a node that drains in its znode, and spread the return to a lost ensemble

Seen in the old driver: a hand of three tries at full speed, a fixed pause of 1 s after a failure and the library's own second between connections, alike in all nodes, so that nodes which lose their ensemble together come back together; any entry under the name was deleted, another node's too; nothing told a drain from a death; the library makes room for whatever length the first answer names.

Change: internal/membership decides without I/O, internal/zk drives it. One reader and writer of the entry for the node, its search for donors and client/ensemble.

--- a/client/ensemble/ensemble.go
+++ b/client/ensemble/ensemble.go
@@ -9,9 +9,9 @@
 	"time"
 
 	"github.com/go-zookeeper/zk"
-	"github.com/valyala/fastjson"
 
 	"whinrudder/client"
+	"whinrudder/internal/membership"
 )
 
 // Source is a client.Source.
@@ -96,11 +96,11 @@
 
 // node reads a znode; ok is false if it is of no node that speaks the protocol.
 func (s Source) node(name string, data []byte) (n client.Node, ok bool) {
-	v, err := fastjson.ParseBytes(data)
-	if err != nil {
+	e, ok := membership.ParseEntry(data)
+	if !ok {
 		return n, false
 	}
-	key := map[client.Protocol]string{client.HTTP: "listen", "": "listen", client.UWSGI: "uwsgi", client.H2C: "h2c"}[s.Protocol]
-	n = client.Node{Name: name, Addr: string(v.GetStringBytes(key)), Draining: v.GetBool("draining")}
+	addr := map[client.Protocol]string{client.HTTP: e.Listen, "": e.Listen, client.UWSGI: e.UWSGI, client.H2C: e.H2C}[s.Protocol]
+	n = client.Node{Name: name, Addr: addr, Draining: e.Draining}
 	return n, n.Addr != ""
 }
--- /dev/null
+++ b/internal/membership/membership.go
@@ -0,0 +1,256 @@
+// Package membership decides what becomes of a node's entry in an ensemble: when it is made, marked as draining and removed, and when
+// a connection or a step that failed is tried again. It knows no ensemble and does no I/O: a driver tells it what happened, with an
+// absolute now in Unix milliseconds, and carries out one step at a time.
+package membership
+
+import "math/rand/v2"
+
+// Phase says where the entry stands.
+type Phase uint8
+
+// The phases.
+const (
+	Apart      Phase = iota // no session with the ensemble
+	Session                 // a session, and the entry is not known to stand as it should
+	Registered              // the entry is the session's and stands as it should
+	Foreign                 // the entry under the name is another node's
+	Over                    // nothing is wanted any more
+)
+
+// Action is what the driver is to do.
+type Action uint8
+
+// The actions.
+const (
+	Look   Action = iota // read the entry, and watch it
+	Make                 // make the entry, and what is above it
+	Write                // replace its content
+	Remove               // remove it
+	End                  // end the session
+)
+
+// Step is one step of the driver's. Version is that of the entry that is replaced or removed, or -1 for any.
+type Step struct {
+	Do      Action
+	Content Entry
+	Version int32
+}
+
+// Code is how a step ended.
+type Code uint8
+
+// The codes.
+const (
+	OK      Code = iota
+	Missing      // there is no entry
+	Changed      // the entry is another than was looked at, or is there already
+	Lost         // the connection or the session ended
+	Failed       // refused: not allowed, full, no such place
+)
+
+// Result is the end of a step. What follows Code is of Look alone.
+type Result struct {
+	Code    Code
+	Owner   int64 // session that the entry is bound to; 0: none
+	Version int32
+	Content Entry
+	Known   bool // the content is an entry
+}
+
+// Times in milliseconds, and their bounds.
+const (
+	stepFirst   = 1000.0  // pause after a step that failed; twice as long after each that follows
+	stepMost    = 30000.0 // and at most
+	foreignWait = 5000.0  // an entry that is another's is looked at again so much later, or when it changes
+	dialPart    = 0.25    // part of the session's time that the first pause before a connection is at most
+	dialMost    = 0.5     // and the longest: a session whose ensemble came back must not expire for want of a try
+	leastPart   = 0.5     // part of a pause that is certain; the rest is drawn, so that nodes don't come back at once
+)
+
+// Machine decides for one entry. Create it with New. It is not safe for concurrent use.
+type Machine struct {
+	self      Entry
+	sessionMs float64
+	draw      *rand.Rand
+
+	session int64 // 0: none
+	since   float64
+	stands  Phase
+	found   Result // of the last look, while fresh
+	fresh   bool
+	busy    bool // a step is out
+	stale   bool // what comes of it says nothing any more
+
+	yielded  bool
+	drained  bool    // operators have sent the clients away
+	leaveAt  float64 // the entry is removed from then on; 0: the node stays
+	leaveIn  float64 // and so long after the notice
+	again    float64 // no step before
+	failures int
+	dials    int
+	dialAt   float64
+}
+
+// New returns the machine of a node that serves. Sessions last sessionMs after the ensemble heard of the node last.
+func New(self Entry, sessionMs float64, seed uint64) *Machine {
+	self.Draining = false
+	return &Machine{self: self, sessionMs: sessionMs, draw: rand.New(rand.NewPCG(seed, 1))}
+}
+
+// Phase returns where the entry stands.
+func (m *Machine) Phase() Phase { return m.stands }
+
+// Draining tells what the entry is to say.
+func (m *Machine) Draining() bool { return m.drained || m.leaveAt > 0 }
+
+func (m *Machine) pause(most float64) float64 {
+	return most * (leastPart + (1-leastPart)*m.draw.Float64())
+}
+
+// unsure forgets what was seen of the entry.
+func (m *Machine) unsure() {
+	m.fresh, m.stale = false, m.busy
+	if m.stands != Over {
+		m.stands = Apart
+		if m.session != 0 {
+			m.stands = Session
+		}
+	}
+}
+
+// Opened takes in that a session is there, a new one or the one of before.
+func (m *Machine) Opened(now float64, session int64) {
+	m.session, m.since = session, now
+	m.unsure()
+	m.again, m.failures = now, 0
+}
+
+// Closed takes in that a connection ended or could not be made. The session may last; a new connection is to wait until DialAt.
+func (m *Machine) Closed(now float64) {
+	if m.session != 0 && now-m.since >= m.sessionMs {
+		m.dials = 0 // it held: this is no flapping
+	}
+	m.session = 0
+	m.unsure()
+	part := dialPart
+	for range m.dials {
+		part = min(2*part, dialMost)
+	}
+	m.dials = min(m.dials+1, 8)
+	m.dialAt = now + m.pause(part*m.sessionMs)
+}
+
+// DialAt returns when the next connection may be tried. A clock that was set back does not hold it up.
+func (m *Machine) DialAt(now float64) float64 { return min(m.dialAt, now+dialMost*m.sessionMs) }
+
+// Touched takes in that somebody changed or removed the entry.
+func (m *Machine) Touched(now float64) {
+	m.unsure()
+	if m.failures == 0 {
+		m.again = now
+	}
+}
+
+// Yield leaves the entry to another process of the node, or takes it back.
+func (m *Machine) Yield(now float64, on bool) {
+	m.yielded = on
+	m.Touched(now)
+}
+
+// Drain marks the node as draining, or takes that back. After Leave it does nothing.
+func (m *Machine) Drain(now float64, on bool) {
+	if m.drained != on {
+		m.drained = on
+		m.Touched(now)
+	}
+}
+
+// Leave marks the node as draining for good, and removes the entry at an absolute time.
+func (m *Machine) Leave(now, removeAt float64) {
+	if m.leaveAt == 0 {
+		m.leaveAt, m.leaveIn = max(removeAt, 1), max(removeAt-now, 0)
+		m.Touched(now)
+	}
+}
+
+// Next returns the step to take now. Where there is none, wake is when to ask again unless something happens; 0: never.
+func (m *Machine) Next(now float64) (s Step, ok bool, wake float64) {
+	// A clock that was set back must not hold up the removal, nor a step, for longer than it was to wait.
+	m.leaveAt, m.again = min(m.leaveAt, now+m.leaveIn), min(m.again, now+stepMost)
+	leaves := m.leaveAt > 0 && now >= m.leaveAt
+	switch {
+	case m.stands == Over || m.busy:
+		return s, false, 0
+	case leaves && (m.session == 0 || m.yielded):
+		m.stands = Over
+		return Step{Do: End}, true, 0
+	case m.session == 0, m.yielded:
+		return s, false, m.leaveAt
+	}
+	if now < m.again && !leaves {
+		return s, false, m.sooner(m.again)
+	}
+	s = Step{Content: m.self, Version: m.found.Version}
+	s.Content.Draining = m.Draining()
+	own := m.found.Code == OK && m.found.Owner == m.session
+	switch {
+	case !m.fresh && leaves && m.failures > 0:
+		m.stands = Over // the end of the session removes what is its own
+		return Step{Do: End}, true, 0
+	case !m.fresh:
+		s.Do = Look
+	case leaves && !own:
+		m.stands = Over
+		return Step{Do: End}, true, 0
+	case leaves, m.found.Code == OK && !own && m.found.Known && m.self.Formerly(m.found.Content):
+		s.Do = Remove
+	case m.found.Code == OK && !own:
+		m.stands, m.fresh, m.again = Foreign, false, now+m.pause(foreignWait)
+		return s, false, m.sooner(m.again)
+	case own && m.found.Known && m.found.Content == s.Content:
+		m.stands = Registered
+		return s, false, m.leaveAt
+	case own:
+		s.Do = Write
+	case m.leaveAt > 0:
+		return s, false, m.leaveAt // who leaves registers no more
+	default:
+		s.Do = Make
+	}
+	m.busy, m.stale = true, false
+	return s, true, 0
+}
+
+func (m *Machine) sooner(at float64) float64 {
+	if m.leaveAt > 0 {
+		return min(at, m.leaveAt)
+	}
+	return at
+}
+
+// Done takes in the end of the step that was taken last.
+func (m *Machine) Done(now float64, s Step, r Result) {
+	m.busy = false
+	stale := m.stale
+	m.stale = false
+	if r.Code == Lost && !stale {
+		m.session = 0 // the driver will tell of the next one
+		m.unsure()
+	}
+	if r.Code == Failed || r.Code == Changed || s.Do == Make && r.Code == Missing {
+		// Hands that change are a failure too: two that fight for an entry must not do so at full speed.
+		most := stepFirst
+		for range m.failures {
+			most = min(2*most, stepMost)
+		}
+		m.failures = min(m.failures+1, 16)
+		m.again = now + m.pause(most)
+	} else if r.Code == OK && (s.Do == Make || s.Do == Write) {
+		m.failures = 0
+	}
+	if s.Do != Look || stale || r.Code != OK && r.Code != Missing {
+		m.fresh = false // what was written is looked at, and watched from then on
+		return
+	}
+	m.found, m.fresh = r, true
+}
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -2,15 +2,16 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
+	"sync"
 	"time"
 
-	"github.com/valyala/fastjson"
-
 	"whinrudder/internal/core"
 	"whinrudder/internal/door"
 	"whinrudder/internal/folder"
 	"whinrudder/internal/kept"
+	"whinrudder/internal/membership"
 	"whinrudder/internal/ops"
 	"whinrudder/internal/warmup"
 	"whinrudder/internal/zk"
@@ -56,14 +57,8 @@
 		n.parts = append(n.parts, learning{w})
 	}
 	if len(n.op.Ensemble) > 0 {
-		data := fmt.Appendf(nil, `{"name":%q,"listen":%q,"uwsgi":%q}`, n.cfg.Name, n.cfg.Listen, n.op.UWSGI)
-		if n.op.H2C != "" {
-			data = fmt.Appendf(data[:len(data)-1], `,"h2c":%q}`, n.op.H2C)
-		}
-		if peerAddr != "" { // one more key, which readers of the older form pass over
-			data = fmt.Appendf(data[:len(data)-1], `,"peer":%q}`, peerAddr)
-		}
-		n.parts = append(n.parts, &membership{node: n, data: data})
+		n.parts = append(n.parts, &registered{node: n, self: membership.Entry{Name: n.cfg.Name, Listen: n.cfg.Listen, UWSGI: n.op.UWSGI,
+			H2C: n.op.H2C, Peer: peerAddr, Start: fmt.Sprintf("%016x", rand.Uint64())}})
 	}
 	return nil
 }
@@ -105,10 +100,8 @@
 func (n *Node) findDonors(by float64) (addrs []string, err error) {
 	found, err := zk.Find(n.op.Ensemble, n.op.SessionMs, n.op.Path, by)
 	for _, data := range found {
-		if v, err := fastjson.ParseBytes(data); err == nil && string(v.GetStringBytes("name")) != n.cfg.Name {
-			if a := string(v.GetStringBytes("peer")); a != "" {
-				addrs = append(addrs, a)
-			}
+		if e, ok := membership.ParseEntry(data); ok && e.Name != n.cfg.Name && e.Peer != "" {
+			addrs = append(addrs, e.Peer)
 		}
 	}
 	return addrs, err
@@ -120,34 +113,53 @@
 func (l learning) Leaving(float64) { l.WarmUp.Leaving() }
 func (learning) Succeeded(bool)    {}
 
-// membership is the node's znode.
-type membership struct {
+// registered is the node's znode.
+type registered struct {
 	node  *Node
-	data  []byte
+	self  membership.Entry
+	mu    sync.Mutex
 	znode *zk.Registration
 }
 
-func (m *membership) Ready(bool) {
-	if m.node.taking.Load() {
-		m.znode = zk.Register(m.node.op.Ensemble, m.node.op.SessionMs, m.node.op.Path, m.node.cfg.Name, m.data, m.node.log)
+// entry returns the registration, or nil.
+func (m *registered) entry() *zk.Registration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.znode
+}
+
+func (m *registered) Ready(bool) {
+	if !m.node.taking.Load() {
+		return
 	}
+	r := zk.Register(m.node.op.Ensemble, m.node.op.SessionMs, m.node.op.Path, m.self, m.node.log)
+	r.Drain(m.node.away.Load())
+	m.mu.Lock()
+	m.znode = r
+	m.mu.Unlock()
 }
 
-func (m *membership) Reload() {}
+func (m *registered) Reload() {}
+
+func (m *registered) Succeeded(on bool) {
+	if r := m.entry(); r != nil {
+		r.Yield(on)
+	}
+}
 
-func (m *membership) Succeeded(on bool) {
-	if m.znode != nil {
-		m.znode.Yield(on)
+func (m *registered) Leaving(by float64) {
+	if r := m.entry(); r != nil {
+		r.Leave(by)
 	}
 }
 
-func (m *membership) Leaving(by float64) {
-	if m.znode != nil {
-		m.znode.Leave(by)
+func (m *registered) Drained(on bool) {
+	if r := m.entry(); r != nil {
+		r.Drain(on)
 	}
 }
 
-func (m *membership) Ended(float64) {}
+func (m *registered) Ended(float64) {}
 
 // opened is the operators' door.
 type opened struct{ *door.Door }
@@ -173,7 +185,7 @@
 	late := time.NewTimer(time.Until(at(by)))
 	defer late.Stop()
 	select {
-	case o.in <- core.Drained{On: on, Done: func() { o.away.Store(on); close(done) }}:
+	case o.in <- core.Drained{On: on, Done: func() { o.sentAway(on); close(done) }}:
 	case <-o.over:
 		return false
 	case <-late.C:
@@ -188,3 +200,13 @@
 		return false
 	}
 }
+
+// sentAway notes that operators have sent the clients away, or taken them back. It is called by the core and does not wait.
+func (n *Node) sentAway(on bool) {
+	n.away.Store(on)
+	n.parted(func(p Part) {
+		if d, ok := p.(interface{ Drained(on bool) }); ok {
+			d.Drained(on)
+		}
+	})
+}
--- a/internal/zk/zk.go
+++ b/internal/zk/zk.go
@@ -4,18 +4,17 @@
 
 import (
 	"errors"
-	"strings"
-	"sync/atomic"
+	"math/rand/v2"
+	"net"
+	"sync"
 	"time"
 
 	"github.com/go-zookeeper/zk"
 
 	"whinrudder/internal/eventlog"
+	"whinrudder/internal/membership"
 )
 
-// again is the pause before a step that failed is tried once more, in milliseconds.
-const again = 1000
-
 // maxPacket bounds what is read from the ensemble at a time.
 const maxPacket = 64 << 10
 
@@ -23,54 +22,70 @@
 type Registration struct {
 	conn  *zk.Conn
 	path  string
-	data  []byte
 	log   eventlog.Log
 	nudge chan struct{}
-	leave chan float64
+	over  chan struct{} // closed at the end
+	ready chan struct{} // closed once conn is set
 
-	yielded atomic.Bool // another process of the node has the znode
+	mu      sync.Mutex // of all below
+	machine *membership.Machine
+	phase   membership.Phase // as it was logged last
+	by      float64          // when the connection is given up; 0: the node stays
 }
 
-// Register makes the znode parent/name with the data, and again after each expiry of its session or if somebody
+func now() float64 { return float64(time.Now().UnixNano()) / 1e6 }
+
+func at(ms float64) time.Time { return time.UnixMicro(int64(ms * 1e3)) }
+
+// Register makes the znode parent/name with the entry, and again after each expiry of its session or if somebody
 // removes it. It returns at once. The ensemble removes the znode sessionMs after it heard of the node last.
-func Register(servers []string, sessionMs float64, parent, name string, data []byte,
-	log eventlog.Log) *Registration {
-	r := &Registration{path: parent + "/" + name, data: data, log: log, nudge: make(chan struct{}, 1),
-		leave: make(chan float64, 1)}
+func Register(servers []string, sessionMs float64, parent string, self membership.Entry, log eventlog.Log) *Registration {
+	r := &Registration{path: parent + "/" + self.Name, log: log, nudge: make(chan struct{}, 1), over: make(chan struct{}), ready: make(chan struct{}),
+		machine: membership.New(self, sessionMs, rand.Uint64())}
 	conn, _, err := zk.Connect(servers, time.Duration(sessionMs*float64(time.Millisecond)), zk.WithLogInfo(false),
-		zk.WithLogger(quiet{}), zk.WithMaxBufferSize(maxPacket), zk.WithEventCallback(r.event))
+		zk.WithLogger(quiet{}), zk.WithMaxBufferSize(maxPacket), zk.WithEventCallback(r.event), zk.WithDialer(r.dial))
 	if err != nil {
 		log("zk", "path", r.path, "code", "off", "error", err)
 		return r
 	}
 	r.conn = conn
+	close(r.ready)
 	go r.run()
 	return r
 }
 
-// Leave removes the znode. It returns at once; by is the absolute time, in Unix milliseconds, at which the
-// connection is given up if the ensemble does not answer.
-func (r *Registration) Leave(by float64) {
+// tell tells the machine something, and lets the goroutine of the steps look again.
+func (r *Registration) tell(what func(m *membership.Machine, now float64)) {
+	r.mu.Lock()
+	what(r.machine, now())
+	r.mu.Unlock()
 	select {
-	case r.leave <- by:
+	case r.nudge <- struct{}{}:
 	default:
 	}
 }
 
+// Drain marks the node as draining, or takes that back.
+func (r *Registration) Drain(on bool) {
+	r.tell(func(m *membership.Machine, now float64) { m.Drain(now, on) })
+}
+
+// Leave marks the node as draining and removes the znode at an absolute time, in Unix milliseconds. It returns at once. Where the
+// ensemble does not answer, the connection is given up leaveFor later.
+func (r *Registration) Leave(by float64) {
+	r.tell(func(m *membership.Machine, now float64) {
+		m.Leave(now, by)
+		r.by = by + leaveFor
+	})
+}
+
+// leaveFor is how long the removal may take, in milliseconds.
+const leaveFor = 500
+
 // Yield leaves the znode to another process of the same node, or takes it back. The session goes on: it keeps no znode
 // that the other has made its own.
 func (r *Registration) Yield(on bool) {
-	r.yielded.Store(on)
-	if !on {
-		r.poke()
-	}
-}
-
-func (r *Registration) poke() {
-	select {
-	case r.nudge <- struct{}{}:
-	default:
-	}
+	r.tell(func(m *membership.Machine, now float64) { m.Yield(now, on) })
 }
 
 // quiet drops the library's remarks: what matters is told by events.
@@ -83,82 +98,162 @@
 	switch {
 	case e.Type == zk.EventSession && e.State == zk.StateExpired:
 		r.log("zk", "path", r.path, "code", "expired")
+		r.tell((*membership.Machine).Closed)
 	case e.Type == zk.EventSession && e.State == zk.StateDisconnected:
 		r.log("zk", "path", r.path, "code", "disconnected")
-	case e.Type == zk.EventSession && e.State == zk.StateHasSession, e.Type == zk.EventNodeDeleted:
-		r.poke()
+		r.tell((*membership.Machine).Closed)
+	case e.Type == zk.EventSession && e.State == zk.StateHasSession:
+		r.tell(func(m *membership.Machine, now float64) { m.Opened(now, r.conn.SessionID()) })
+	case e.Type == zk.EventNodeDeleted, e.Type == zk.EventNodeDataChanged:
+		r.tell((*membership.Machine).Touched)
+	}
+}
+
+// dial waits until the machine lets a connection be tried, and tries it. It is called by the library.
+func (r *Registration) dial(network, addr string, wait time.Duration) (net.Conn, error) {
+	<-r.ready // no session, and so no event that needs conn, before this
+	r.mu.Lock()
+	when := r.machine.DialAt(now())
+	r.mu.Unlock()
+	t := time.NewTimer(time.Until(at(when)))
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-r.over:
+		return nil, net.ErrClosed
 	}
+	d := net.Dialer{Deadline: time.Now().Add(wait)}
+	c, err := d.Dial(network, addr)
+	if err != nil {
+		r.tell((*membership.Machine).Closed)
+		return nil, err
+	}
+	return &bounded{Conn: c}, nil
 }
 
+// bounded is a connection whose first frame is within maxPacket: the library trusts the length that it names.
+type bounded struct {
+	net.Conn
+	size uint32
+	seen int
+}
+
+// Read implements io.Reader.
+func (b *bounded) Read(p []byte) (int, error) {
+	n, err := b.Conn.Read(p)
+	for i := 0; i < n && b.seen < 4; i++ {
+		b.size, b.seen = b.size<<8|uint32(p[i]), b.seen+1
+	}
+	if b.seen == 4 && b.size > maxPacket {
+		return 0, errors.New("a frame of an absurd length")
+	}
+	return n, err
+}
+
+// run takes the machine's steps, one at a time.
 func (r *Registration) run() {
-	retry := time.NewTimer(time.Hour)
+	wait := time.NewTimer(time.Hour)
+	defer wait.Stop()
 	for {
-		select {
-		case by := <-r.leave:
-			if r.yielded.Load() {
-				r.log("zk", "path", r.path, "code", "yielded")
-				r.conn.Close()
-				return
-			}
-			time.AfterFunc(time.Until(time.UnixMicro(int64(by*1e3))), r.conn.Close)
-			err := r.conn.Delete(r.path, -1)
-			r.log("zk", "path", r.path, "code", "removed", "error", text(err))
+		r.mu.Lock()
+		t := now()
+		s, ok, wake := r.machine.Next(t)
+		by, phase, was := r.by, r.machine.Phase(), r.phase
+		r.phase = phase
+		r.mu.Unlock()
+		if phase != was && phase == membership.Foreign {
+			r.log("zk", "path", r.path, "code", "foreign")
+		}
+		if ok && s.Do == membership.End {
+			close(r.over)
+			r.log("zk", "path", r.path, "code", "left")
 			r.conn.Close()
 			return
-		case <-r.nudge:
-		case <-retry.C:
 		}
-		if r.yielded.Load() {
+		if ok {
+			var late *time.Timer
+			if by > 0 {
+				late = time.AfterFunc(time.Until(at(by)), r.conn.Close)
+			}
+			result, err := r.step(s)
+			if late != nil {
+				late.Stop()
+			}
+			r.said(s, result, err)
+			r.mu.Lock()
+			r.machine.Done(now(), s, result)
+			r.mu.Unlock()
 			continue
 		}
-		if err := r.ensure(); err != nil {
-			r.log("zk", "path", r.path, "code", "failed", "error", err)
-			retry.Reset(again * time.Millisecond)
+		if wake > 0 {
+			wait.Reset(time.Until(at(wake)))
+		} else {
+			wait.Reset(time.Hour)
+		}
+		select {
+		case <-r.nudge:
+		case <-wait.C:
 		}
 	}
 }
 
-func text(err error) string {
-	if err == nil {
-		return ""
+// words are the codes in the log of steps that were taken.
+var words = map[membership.Action]string{membership.Make: "registered", membership.Write: "written", membership.Remove: "removed"}
+
+func (r *Registration) said(s membership.Step, result membership.Result, err error) {
+	switch word := words[s.Do]; {
+	case result.Code == membership.Failed || result.Code == membership.Changed:
+		r.log("zk", "path", r.path, "code", "failed", "error", err)
+	case result.Code == membership.OK && word != "":
+		r.log("zk", "path", r.path, "code", word, "draining", s.Content.Draining)
 	}
-	return err.Error()
 }
 
-// ensure sees to it that the znode is there and is this session's. One of an earlier life of this node would
-// vanish with that life's session, and the node would serve unseen.
-func (r *Registration) ensure() error {
-	acl := zk.WorldACL(zk.PermAll)
-	for range 3 {
-		there, stat, err := r.conn.Exists(r.path)
-		if err != nil {
-			return err
+// step carries out one step.
+func (r *Registration) step(s membership.Step) (out membership.Result, err error) {
+	switch s.Do {
+	case membership.Look:
+		var data []byte
+		var stat *zk.Stat
+		if data, stat, _, err = r.conn.GetW(r.path); err == nil {
+			out.Owner, out.Version = stat.EphemeralOwner, stat.Version
+			out.Content, out.Known = membership.ParseEntry(data)
 		}
-		if there && stat.EphemeralOwner == r.conn.SessionID() {
-			// Watched from here on: the loss of the znode is an event that nudges.
-			_, _, _, err := r.conn.ExistsW(r.path)
-			return err
-		}
-		if there {
-			if err := r.conn.Delete(r.path, stat.Version); err != nil && !errors.Is(err, zk.ErrNoNode) {
-				return err
-			}
-		}
-		for i := 1; i < len(r.path); i++ { // the parents, persistent
-			if r.path[i] != '/' {
-				continue
-			}
-			if _, err := r.conn.Create(r.path[:i], nil, 0, acl); err != nil && !errors.Is(err, zk.ErrNodeExists) {
-				return err
-			}
+	case membership.Make:
+		err = r.make(s.Content.Append(nil))
+	case membership.Write:
+		_, err = r.conn.Set(r.path, s.Content.Append(nil), s.Version)
+	case membership.Remove:
+		err = r.conn.Delete(r.path, s.Version)
+	}
+	switch {
+	case err == nil:
+	case errors.Is(err, zk.ErrNoNode):
+		out.Code = membership.Missing
+	case errors.Is(err, zk.ErrNodeExists), errors.Is(err, zk.ErrBadVersion):
+		out.Code = membership.Changed
+	case errors.Is(err, zk.ErrConnectionClosed), errors.Is(err, zk.ErrClosing), errors.Is(err, zk.ErrSessionExpired),
+		errors.Is(err, zk.ErrSessionMoved), errors.Is(err, zk.ErrNoServer):
+		out.Code = membership.Lost
+	default:
+		out.Code = membership.Failed
+	}
+	return out, err
+}
+
+// make makes the znode, and its parents, which last.
+func (r *Registration) make(data []byte) error {
+	acl := zk.WorldACL(zk.PermAll)
+	for i := 1; i < len(r.path); i++ {
+		if r.path[i] != '/' {
+			continue
 		}
-		if _, err := r.conn.Create(r.path, r.data, zk.FlagEphemeral, acl); err == nil {
-			r.log("zk", "path", r.path, "code", "registered")
-		} else if !errors.Is(err, zk.ErrNodeExists) {
+		if _, err := r.conn.Create(r.path[:i], nil, 0, acl); err != nil && !errors.Is(err, zk.ErrNodeExists) {
 			return err
 		}
 	}
-	return errors.New("the znode changes hands: " + strings.TrimPrefix(r.path, "/"))
+	_, err := r.conn.Create(r.path, data, zk.FlagEphemeral, acl)
+	return err
 }
 
 // maxFound bounds the znodes that Find reads.
--- /dev/null
+++ b/internal/zk/zk_test.go
@@ -0,0 +1,60 @@
+package zk
+
+import (
+	"encoding/binary"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"whinrudder/internal/membership"
+)
+
+// An ensemble that answers with a frame of an absurd length costs its connection: the library would make room for 2 GB. The node
+// says what it lost, tries again later, and leaves in time.
+func TestAbsurdLengthCostsTheConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	cut := make(chan error, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		c.Write(binary.BigEndian.AppendUint32(nil, 0x7ffffff0))
+		_, err = io.Copy(io.Discard, c) // until the other side ends the connection
+		select {
+		case cut <- err:
+		default:
+		}
+	}()
+	lines := make(chan string, 64)
+	r := Register([]string{l.Addr().String()}, 1000, "/nodes", membership.Entry{Name: "n1"}, func(_ string, pairs ...any) {
+		select {
+		case lines <- pairs[3].(string):
+		default:
+		}
+	})
+	select {
+	case <-cut:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the connection stands, waiting for 2 GB")
+	}
+	r.Leave(now())
+	for said := ""; ; {
+		select {
+		case line := <-lines:
+			said += line + " "
+			if line == "left" {
+				return
+			}
+		case <-time.After(10 * time.Second):
+			t.Fatalf("did not leave: %s", strings.TrimSpace(said))
+		}
+	}
+}
