--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -240,12 +240,12 @@
 		if k.mailed() {
 			continue // it came before the deadline was set, which may have undone its call
 		}
-		if k.ends() {
-			return "drain"
-		}
 		if k.node.moving.Load() && k.moves() {
 			return "moved"
 		}
+		if k.ends() {
+			return "drain"
+		}
 		n, err := k.c.Read(buf)
 		if n > 0 {
 			k.proto.Feed(now(), buf[:n])
