Let a node authenticate to its ensemble and keep its znode for its credentials alone

Change: `zookeeper.auth_file` of the operator's file, one line USER:PASSWORD; `check` names its faults by path, never by content. The stand-in ensemble has rights on znodes and refuses who lacks them, so that a registration in a guarded place fails unless the credentials were told.

--- a/cmd/whinrudder/main.go
+++ b/cmd/whinrudder/main.go
@@ -16,6 +16,7 @@
 	"whinrudder/internal/node"
 	"whinrudder/internal/rehearse"
 	"whinrudder/internal/settings"
+	"whinrudder/internal/zk"
 )
 
 // version is the version of the program.
@@ -108,6 +109,9 @@
 		}
 		err = errors.Join(err, err2)
 	}
+	if _, bad := zk.ReadAuth(op.AuthFile); bad != nil {
+		err = errors.Join(err, bad)
+	}
 	if op.UpgradeDir == "" && cfg.Admin != "" { // where there is a door, a successor finds this process
 		op.UpgradeDir = os.Getenv("TMPDIR")
 	}
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -132,7 +132,12 @@
 	if !m.node.taking.Load() {
 		return
 	}
-	r := zk.Register(m.node.op.Ensemble, m.node.op.SessionMs, m.node.op.Path, m.self, m.node.log)
+	auth, err := zk.ReadAuth(m.node.op.AuthFile)
+	if err != nil {
+		m.node.log("zk", "path", m.node.op.Path, "code", "off", "error", err)
+		return
+	}
+	r := zk.Register(m.node.op.Ensemble, m.node.op.SessionMs, m.node.op.Path, m.self, auth, m.node.log)
 	r.Drain(m.node.away.Load())
 	m.mu.Lock()
 	m.znode = r
--- a/internal/rehearse/ensemble.go
+++ b/internal/rehearse/ensemble.go
@@ -1,6 +1,8 @@
 package rehearse
 
 import (
+	"crypto/sha1"
+	"encoding/base64"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -25,6 +27,8 @@
 //	zk add PATH DATA  another node owns the znode
 //	zk remove PATH    somebody removes the znode
 //	zk expire         all sessions expire
+//	zk guard PATH AUTH    a znode on which only USER:PASSWORD has rights
+//	zk rights PATH    waits until the znode is there; tells who has which rights on it
 //	zk down, zk up    connections break, and none is taken until it is up again
 type ensemble struct {
 	l       net.Listener
@@ -41,6 +45,35 @@
 	owner   int64
 	data    string
 	version int32
+	rights  []right // nil: anybody may do anything
+}
+
+// right is an entry of a znode's ACL.
+type right struct {
+	perms      uint32
+	scheme, id string
+}
+
+// What the bits of perms allow. To make and to remove what is under a znode is a right on that znode.
+const (
+	mayWrite  = 2
+	mayMake   = 4
+	mayRemove = 8
+	mayAll    = 31
+)
+
+// may tells whether a connection has a right on a znode.
+func (k *zkConn) may(n znode, perm uint32) bool {
+	return n.rights == nil || slices.ContainsFunc(n.rights, func(r right) bool {
+		return r.perms&perm != 0 && (r.scheme == "world" || r.scheme == "digest" && slices.Contains(k.users, r.id))
+	})
+}
+
+// digest is the id of USER:PASSWORD in the published digest scheme.
+func digest(auth string) string {
+	user, _, _ := strings.Cut(auth, ":")
+	sum := sha1.Sum([]byte(auth))
+	return user + ":" + base64.StdEncoding.EncodeToString(sum[:])
 }
 
 // stat is what is told of a znode beside its data.
@@ -56,6 +89,7 @@
 
 type zkConn struct {
 	session int64
+	users   []string // digests that were told
 	watches map[string]bool
 }
 
@@ -108,6 +142,16 @@
 		data := ""
 		e.until(func() bool { n, ok := e.nodes[at]; data = n.data; return ok && e.live[n.owner] })
 		return fmt.Sprintf("zk has %s %s", at, starts.ReplaceAllString(data, `"start":"S"`)), nil
+	case "rights":
+		at, _, _ = cut(at)
+		line = "zk rights " + at
+		e.until(func() bool { _, ok := e.nodes[at]; return ok })
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		for _, r := range e.nodes[at].rights {
+			line += fmt.Sprintf(" %s:%s=%d", r.scheme, r.id, r.perms)
+		}
+		return line, nil
 	case "drains", "serves":
 		if !e.until(func() bool {
 			n, ok := e.nodes[at]
@@ -130,6 +174,9 @@
 		at, data, _ := cut(at)
 		e.nodes[path.Dir(at)], e.nodes[at] = znode{}, znode{owner: 7, data: data}
 		e.tell(path.Dir(at)+children, childrenChanged)
+	case "guard":
+		at, auth, _ := cut(at)
+		e.nodes[at] = znode{rights: []right{{mayAll, "digest", digest(auth)}}}
 	case "take":
 		at, data, _ := cut(at)
 		e.nodes[path.Dir(at)], e.nodes[at] = znode{}, znode{owner: 7, data: data}
@@ -242,16 +289,20 @@
 
 // request carries out one request and returns its answer.
 func (e *ensemble) request(k *zkConn, xid, op int32, b []byte) []byte {
-	const noNode, badVersion, nodeExists, unknown = -101, -103, -110, -6
+	const noAuth, noNode, badVersion, nodeExists, unknown = -102, -101, -103, -110, -6
 	at, rest := text(b)
 	n, there := e.nodes[at]
 	switch op {
 	case 1: // create
 		data, rest := text(rest)
 		flags := rest[len(rest)-4:]
-		if _, ok := e.nodes[path.Dir(at)]; !ok {
+		switch up, ok := e.nodes[path.Dir(at)]; {
+		case !ok:
 			return header(xid, noNode)
+		case !there && !k.may(up, mayMake):
+			return header(xid, noAuth)
 		}
+		n.rights = rights(rest)
 		if there {
 			return header(xid, nodeExists)
 		}
@@ -266,6 +317,9 @@
 		if !there {
 			return header(xid, noNode)
 		}
+		if !k.may(e.nodes[path.Dir(at)], mayRemove) {
+			return header(xid, noAuth)
+		}
 		delete(e.nodes, at)
 		e.tell(at, nodeDeleted)
 		e.tell(path.Dir(at)+children, childrenChanged)
@@ -285,6 +339,8 @@
 			return header(xid, noNode)
 		case len(rest) < 4 || int32(binary.BigEndian.Uint32(rest)) != n.version:
 			return header(xid, badVersion)
+		case !k.may(n, mayWrite):
+			return header(xid, noAuth)
 		}
 		n.data, n.version = data, n.version+1
 		e.nodes[at] = n
@@ -308,6 +364,12 @@
 			}
 		}
 		return append(out, n.stat()...)
+	case 100: // credentials: the type of the request, which is 0, the scheme, and what it wants
+		if scheme, rest := text(b[4:]); scheme == "digest" {
+			auth, _ := text(rest)
+			k.users = append(k.users, digest(auth))
+		}
+		return header(xid, 0)
 	case 11, 101: // ping, watches set anew
 		return header(xid, 0)
 	case -11: // close
@@ -323,6 +385,25 @@
 	return header(xid, unknown)
 }
 
+// rights reads an ACL.
+func rights(b []byte) (out []right) {
+	if len(b) < 4 {
+		return nil
+	}
+	n := binary.BigEndian.Uint32(b)
+	b = b[4:]
+	for range min(n, 8) {
+		if len(b) < 4 {
+			return out
+		}
+		r := right{perms: binary.BigEndian.Uint32(b)}
+		r.scheme, b = text(b[4:])
+		r.id, b = text(b)
+		out = append(out, r)
+	}
+	return out
+}
+
 // children returns the names of the znodes right under one.
 func (e *ensemble) children(at string) (names []string) {
 	for p := range e.nodes {
--- a/internal/rehearse/player.go
+++ b/internal/rehearse/player.go
@@ -95,6 +95,7 @@
 	mu      sync.Mutex
 	file    string // the configuration, as the node would read it now
 	folder  string // of kept results
+	auth    string // file of credentials for the ensemble
 	shared  string // folder of processes that succeed each other
 	reports *reportStandIn
 	zk      *ensemble
@@ -302,6 +303,9 @@
 		p.zk.close()
 	}
 	p.peers.close()
+	if p.auth != "" {
+		os.Remove(p.auth)
+	}
 	if p.folder != "" {
 		os.RemoveAll(p.folder)
 	}
--- a/internal/rehearse/process.go
+++ b/internal/rehearse/process.go
@@ -26,7 +26,7 @@
 func options() map[string]string {
 	return map[string]string{"cores": "2", "aim_ms": "6000", "deadline_ms": "9000", "stop_ms": "3000",
 		"sockets": "128", "fresh_ms": "0", "keepalive_ms": "30000", "deep": "true", "take_ms": "5000", "kept": "0",
-		"admin": "", "listen": "127.0.0.1:0", "upgrade": "", "classes": "status-lookup,rate-quote,payout-book"}
+		"admin": "", "listen": "127.0.0.1:0", "upgrade": "", "auth": "", "classes": "status-lookup,rate-quote,payout-book"}
 }
 
 const config = `{"name":"r1","listen":"$listen","admin":"$admin","pool":"%s","announce":"%s","seed":"8c1f30d27a5be964",
@@ -86,6 +86,17 @@
 	if p.zk != nil {
 		op.Ensemble, op.Path, op.SessionMs = []string{p.zk.l.Addr().String()}, "/payout-nodes", 4000
 	}
+	if auth := p.opts["auth"]; auth != "" {
+		f, err := os.CreateTemp("", "auth")
+		if err != nil {
+			return err
+		}
+		p.auth, op.AuthFile = f.Name(), f.Name() // it is read once the worker pool is up
+		if _, err := fmt.Fprintln(f, auth); err != nil {
+			return err
+		}
+		f.Close()
+	}
 	if peered {
 		takeMs, _ := strconv.ParseFloat(p.opts["take_ms"], 64)
 		op.Peer = p.peers.operator(takeMs, discover)
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -17,6 +17,7 @@
 	Ensemble  []string // addresses of a ZooKeeper ensemble; empty: off
 	Path      string   // the znode under which nodes register
 	SessionMs float64  // how long the ensemble keeps the znode of a silent node
+	AuthFile  string   // file with USER:PASSWORD for the ensemble; empty: none
 	Peer      Peer
 	Kept      Kept
 	// UpgradeDir is a folder that a running process and its successor share; empty: no handover.
@@ -86,9 +87,10 @@
 		}
 	}
 	if z := r.object("zookeeper", root.Get("zookeeper")); z != nil {
-		r.only(z, "zookeeper.", "servers", "path", "session_ms")
+		r.only(z, "zookeeper.", "servers", "path", "session_ms", "auth_file")
 		o.Ensemble = r.addrs(z, "zookeeper.", "servers")
 		o.Path, o.SessionMs = r.text(z, "path"), r.num(z, "session_ms")
+		o.AuthFile = r.text(z, "auth_file")
 		if len(o.Ensemble) == 0 {
 			r.fault("zookeeper.servers is empty")
 		}
@@ -227,6 +229,9 @@
 		z.Set("servers", list(o.Ensemble))
 		z.Set("path", a.NewString(o.Path))
 		z.Set("session_ms", a.NewNumberFloat64(o.SessionMs))
+		if o.AuthFile != "" {
+			z.Set("auth_file", a.NewString(o.AuthFile))
+		}
 		root.Set("zookeeper", z)
 	}
 	if o.JSONLog {
--- a/internal/zk/zk.go
+++ b/internal/zk/zk.go
@@ -22,6 +22,8 @@
 type Registration struct {
 	conn  *zk.Conn
 	path  string
+	auth  []byte // for the ensemble; nil: none
+	known bool   // the ensemble has it; of the goroutine of the steps
 	log   eventlog.Log
 	nudge chan struct{}
 	over  chan struct{} // closed at the end
@@ -38,9 +40,9 @@
 func at(ms float64) time.Time { return time.UnixMicro(int64(ms * 1e3)) }
 
 // Register makes the znode parent/name with the entry, and again after each expiry of its session or if somebody
-// removes it. It returns at once. The ensemble removes the znode sessionMs after it heard of the node last.
-func Register(servers []string, sessionMs float64, parent string, self membership.Entry, log eventlog.Log) *Registration {
-	r := &Registration{path: parent + "/" + self.Name, log: log, nudge: make(chan struct{}, 1), over: make(chan struct{}), ready: make(chan struct{}),
+// removes it, with the credentials that ReadAuth returns. It returns at once. The ensemble removes the znode sessionMs after it heard of the node last.
+func Register(servers []string, sessionMs float64, parent string, self membership.Entry, auth []byte, log eventlog.Log) *Registration {
+	r := &Registration{path: parent + "/" + self.Name, auth: auth, log: log, nudge: make(chan struct{}, 1), over: make(chan struct{}), ready: make(chan struct{}),
 		machine: membership.New(self, sessionMs, rand.Uint64())}
 	conn, _, err := zk.Connect(servers, time.Duration(sessionMs*float64(time.Millisecond)), zk.WithLogInfo(false),
 		zk.WithLogger(quiet{}), zk.WithMaxBufferSize(maxPacket), zk.WithEventCallback(r.event), zk.WithDialer(r.dial))
@@ -211,6 +213,12 @@
 
 // step carries out one step.
 func (r *Registration) step(s membership.Step) (out membership.Result, err error) {
+	if r.auth != nil && !r.known {
+		if err := r.conn.AddAuth("digest", r.auth); err != nil {
+			return membership.Result{Code: code(err)}, err
+		}
+		r.known = true // the library tells it again on each connection
+	}
 	switch s.Do {
 	case membership.Look:
 		var data []byte
@@ -226,24 +234,29 @@
 	case membership.Remove:
 		err = r.conn.Delete(r.path, s.Version)
 	}
+	out.Code = code(err)
+	return out, err
+}
+
+// code tells what an answer of the ensemble means to the machine.
+func code(err error) membership.Code {
 	switch {
 	case err == nil:
+		return membership.OK
 	case errors.Is(err, zk.ErrNoNode):
-		out.Code = membership.Missing
+		return membership.Missing
 	case errors.Is(err, zk.ErrNodeExists), errors.Is(err, zk.ErrBadVersion):
-		out.Code = membership.Changed
+		return membership.Changed
 	case errors.Is(err, zk.ErrConnectionClosed), errors.Is(err, zk.ErrClosing), errors.Is(err, zk.ErrSessionExpired),
 		errors.Is(err, zk.ErrSessionMoved), errors.Is(err, zk.ErrNoServer):
-		out.Code = membership.Lost
-	default:
-		out.Code = membership.Failed
+		return membership.Lost
 	}
-	return out, err
+	return membership.Failed
 }
 
 // make makes the znode, and its parents, which last.
 func (r *Registration) make(data []byte) error {
-	acl := zk.WorldACL(zk.PermAll)
+	acl := rights(r.auth)
 	for i := 1; i < len(r.path); i++ {
 		if r.path[i] != '/' {
 			continue
--- a/internal/zk/zk_test.go
+++ b/internal/zk/zk_test.go
@@ -34,7 +34,7 @@
 		}
 	}()
 	lines := make(chan string, 64)
-	r := Register([]string{l.Addr().String()}, 1000, "/nodes", membership.Entry{Name: "n1"}, func(_ string, pairs ...any) {
+	r := Register([]string{l.Addr().String()}, 1000, "/nodes", membership.Entry{Name: "n1"}, nil, func(_ string, pairs ...any) {
 		select {
 		case lines <- pairs[3].(string):
 		default:
