Pass the znode to a successor in one step, with later starts ahead of earlier ones

Need: passing over in an upgrade leaves no gap and no double entry. A process removed the entry of the one before and made its own: a gap of a round trip; and two processes of one node would each have taken the entry for an earlier life's.

Change: membership.Take, by one multi operation; names of starts sort by their time, and only an entry of no later start is taken.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -25,6 +25,7 @@
 	Look   Action = iota // read the entry, and watch it
 	Make                 // make the entry, and what is above it
 	Write                // replace its content
+	Take                 // remove it and make it anew, in one
 	Remove               // remove it
 	End                  // end the session
 )
@@ -202,8 +203,12 @@
 	case leaves && !own:
 		m.stands = Over
 		return Step{Do: End}, true, 0
-	case leaves, m.found.Code == OK && !own && m.found.Known && m.self.Formerly(m.found.Content):
+	case leaves:
 		s.Do = Remove
+	case m.leaveAt > 0 && !own:
+		return s, false, m.leaveAt // who leaves registers no more
+	case m.found.Code == OK && !own && m.found.Known && m.self.Formerly(m.found.Content):
+		s.Do = Take
 	case m.found.Code == OK && !own:
 		m.stands, m.fresh, m.again = Foreign, false, now+m.pause(foreignWait)
 		return s, false, m.sooner(m.again)
@@ -212,8 +217,6 @@
 		return s, false, m.leaveAt
 	case own:
 		s.Do = Write
-	case m.leaveAt > 0:
-		return s, false, m.leaveAt // who leaves registers no more
 	default:
 		s.Do = Make
 	}
@@ -237,7 +240,7 @@
 		m.session = 0 // the driver will tell of the next one
 		m.unsure()
 	}
-	if r.Code == Failed || r.Code == Changed || s.Do == Make && r.Code == Missing {
+	if r.Code == Failed || r.Code == Changed || s.Do == Make && r.Code == Missing { // what it is to stand under is gone again
 		// Hands that change are a failure too: two that fight for an entry must not do so at full speed.
 		most := stepFirst
 		for range m.failures {
@@ -245,7 +248,7 @@
 		}
 		m.failures = min(m.failures+1, 16)
 		m.again = now + m.pause(most)
-	} else if r.Code == OK && (s.Do == Make || s.Do == Write) {
+	} else if r.Code == OK && (s.Do == Make || s.Do == Take || s.Do == Write) {
 		m.failures = 0
 	}
 	if s.Do != Look || stale || r.Code != OK && r.Code != Missing {
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -41,10 +41,10 @@
 	if _, twice, _ := w.m.Next(w.now); twice {
 		w.t.Fatal("two steps at once")
 	}
-	if (s.Do == Make || s.Do == Write) && w.left && !s.Content.Draining {
+	if (s.Do == Make || s.Do == Take || s.Do == Write) && w.left && !s.Content.Draining {
 		w.t.Fatal("serving is written after the notice to leave")
 	}
-	if s.Do == Make && w.left {
+	if (s.Do == Make || s.Do == Take) && w.left {
 		w.t.Fatal("a node that leaves registers")
 	}
 	if s.Do == End {
@@ -76,8 +76,13 @@
 		r.Code = Changed
 	case s.Do == Write:
 		w.content, w.version = s.Content, w.version+1
+	case s.Do == Take:
+		if w.owner == w.last || !w.known || w.content.Name != self.Name || w.content.Listen != self.Listen || w.content.Start > self.Start {
+			w.t.Fatal("takes what is another's")
+		}
+		w.owner, w.version, w.content = w.last, 0, s.Content
 	case s.Do == Remove:
-		if w.owner != w.last && !(w.known && w.content.Name == self.Name && w.content.Listen == self.Listen) {
+		if w.owner != w.last {
 			w.t.Fatal("removes what is another's")
 		}
 		w.there = false
@@ -106,7 +111,7 @@
 		drained, yielded := false, false
 		for range rapid.IntRange(0, 60).Draw(t, "events") {
 			switch rapid.SampledFrom([]string{"step", "step", "step", "time", "open", "close", "expire", "drain", "yield", "leave", "remove",
-				"former", "foreign", "garbage", "back"}).Draw(t, "event") {
+				"former", "successor", "foreign", "garbage", "back"}).Draw(t, "event") {
 			case "step":
 				w.step()
 			case "time":
@@ -141,6 +146,8 @@
 				w.m.Touched(w.now)
 			case "former":
 				w.put(Entry{Name: self.Name, Listen: self.Listen, Start: "a"}, true)
+			case "successor":
+				w.put(Entry{Name: self.Name, Listen: self.Listen, Start: "c"}, true)
 			case "foreign":
 				w.put(Entry{Name: self.Name, Listen: "127.0.0.1:2"}, true)
 			case "garbage":
@@ -270,6 +277,18 @@
 	}
 }
 
+// Later starts have names that sort behind, on every clock of the next centuries.
+func TestStartsSort(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		at := rapid.Float64Range(0, 1e13).Draw(t, "at")
+		a := NewStart(at, rapid.Uint64().Draw(t, "a"))
+		b := NewStart(at+1+rapid.Float64Range(0, 1e12).Draw(t, "after"), rapid.Uint64().Draw(t, "b"))
+		if a >= b || len(a) != 16 || len(b) != 16 {
+			t.Fatalf("%s, later %s", a, b)
+		}
+	})
+}
+
 // Entries are read as they are written, and those of older nodes and of others are no fault.
 func TestEntries(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/rehearse/ensemble.go
+++ b/internal/rehearse/ensemble.go
@@ -25,6 +25,8 @@
 //	zk gone PATH      waits until it is not
 //	zk take PATH DATA a session of an earlier life owns the znode
 //	zk add PATH DATA  another node owns the znode
+//	zk newest PATH    waits until the znode is the session's that began last
+//	zk unbroken PATH  the znode is there, and was without a gap since it first was
 //	zk remove PATH    somebody removes the znode
 //	zk expire         all sessions expire
 //	zk guard PATH AUTH    a znode on which only USER:PASSWORD has rights
@@ -34,6 +36,8 @@
 	l       net.Listener
 	mu      sync.Mutex
 	changed chan struct{} // closed and made anew at each change
+	seen    map[string]bool
+	gaps    map[string]int // how often a znode that was there was not any more
 	nodes   map[string]znode
 	live    map[int64]bool // sessions
 	conns   map[net.Conn]*zkConn
@@ -99,7 +103,7 @@
 		return nil, err
 	}
 	e := &ensemble{l: l, changed: make(chan struct{}), nodes: map[string]znode{"/": {}}, live: map[int64]bool{},
-		conns: map[net.Conn]*zkConn{}, last: 100}
+		conns: map[net.Conn]*zkConn{}, seen: map[string]bool{}, gaps: map[string]int{}, last: 100}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -113,6 +117,15 @@
 }
 
 func (e *ensemble) change() {
+	for p := range e.nodes {
+		e.seen[p] = true
+	}
+	for p := range e.seen {
+		if _, ok := e.nodes[p]; !ok {
+			delete(e.seen, p)
+			e.gaps[p]++
+		}
+	}
 	close(e.changed)
 	e.changed = make(chan struct{})
 }
@@ -142,6 +155,18 @@
 		data := ""
 		e.until(func() bool { n, ok := e.nodes[at]; data = n.data; return ok && e.live[n.owner] })
 		return fmt.Sprintf("zk has %s %s", at, starts.ReplaceAllString(data, `"start":"S"`)), nil
+	case "newest":
+		if !e.until(func() bool { n, ok := e.nodes[at]; return ok && n.owner == e.last }) {
+			return "zk has " + at, nil
+		}
+		return line, nil
+	case "unbroken":
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if n := e.gaps[at]; n > 0 || !e.seen[at] {
+			return fmt.Sprintf("zk broken %s %d", at, n), nil
+		}
+		return line, nil
 	case "rights":
 		at, _, _ = cut(at)
 		line = "zk rights " + at
@@ -364,6 +389,26 @@
 			}
 		}
 		return append(out, n.stat()...)
+	case 14: // several at once, or none of them
+		before := maps.Clone(e.nodes)
+		out, ends := header(xid, 0), []byte{0xff, 0xff, 0xff, 0xff, 1, 0xff, 0xff, 0xff, 0xff}
+		for len(b) >= 9 && b[4] == 0 {
+			kind, body := int32(binary.BigEndian.Uint32(b)), b[9:]
+			n := sizeOf(kind, body)
+			if n < 0 {
+				return header(xid, unknown)
+			}
+			answer := e.request(k, xid, kind, body[:n])
+			if why := answer[12:16]; binary.BigEndian.Uint32(why) != 0 {
+				e.nodes = before
+				failed := append(append([]byte{0xff, 0xff, 0xff, 0xff, 0}, why...), why...)
+				return append(append(header(xid, 0), failed...), ends...)
+			}
+			out = binary.BigEndian.AppendUint32(out, uint32(kind))
+			out = append(append(out, 0, 0, 0, 0, 0), answer[16:]...)
+			b = body[n:]
+		}
+		return append(out, ends...)
 	case 100: // credentials: the type of the request, which is 0, the scheme, and what it wants
 		if scheme, rest := text(b[4:]); scheme == "digest" {
 			auth, _ := text(rest)
@@ -385,6 +430,26 @@
 	return header(xid, unknown)
 }
 
+// sizeOf is how many bytes a request takes that is one of several, or -1 for one that can't be read.
+func sizeOf(kind int32, b []byte) int {
+	_, rest := text(b)
+	if kind == 1 {
+		_, rest = text(rest)
+		if len(rest) < 4 {
+			return -1
+		}
+		n := binary.BigEndian.Uint32(rest)
+		for rest = rest[4:]; n > 0 && len(rest) >= 4; n-- {
+			_, rest = text(rest[4:])
+			_, rest = text(rest)
+		}
+	}
+	if len(rest) < 4 || kind != 1 && kind != 2 {
+		return -1
+	}
+	return len(b) - len(rest) + 4
+}
+
 // rights reads an ACL.
 func rights(b []byte) (out []right) {
 	if len(b) < 4 {
--- a/internal/rehearse/process.go
+++ b/internal/rehearse/process.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"os"
 	"slices"
 	"strconv"
@@ -75,6 +76,14 @@
 		}
 		p.opts[k] = v
 	}
+	if p.opts["listen"] == "free" { // a port that is the same in the files of a successor
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		p.opts["listen"] = l.Addr().String()
+		l.Close()
+	}
 	if p.pool, err = newPoolStandIn(); err != nil {
 		return err
 	}
--- a/internal/zk/zk.go
+++ b/internal/zk/zk.go
@@ -200,7 +200,8 @@
 }
 
 // words are the codes in the log of steps that were taken.
-var words = map[membership.Action]string{membership.Make: "registered", membership.Write: "written", membership.Remove: "removed"}
+var words = map[membership.Action]string{membership.Make: "registered", membership.Take: "taken", membership.Write: "written",
+	membership.Remove: "removed"}
 
 func (r *Registration) said(s membership.Step, result membership.Result, err error) {
 	switch word := words[s.Do]; {
@@ -229,6 +230,9 @@
 		}
 	case membership.Make:
 		err = r.make(s.Content.Append(nil))
+	case membership.Take:
+		_, err = r.conn.Multi(&zk.DeleteRequest{Path: r.path, Version: s.Version},
+			&zk.CreateRequest{Path: r.path, Data: s.Content.Append(nil), Acl: rights(r.auth), Flags: zk.FlagEphemeral})
 	case membership.Write:
 		_, err = r.conn.Set(r.path, s.Content.Append(nil), s.Version)
 	case membership.Remove:
