Play a silent, an absent and a foreign ensemble's cases over all fronts

Exchanges: an ensemble that says nothing from the start and later does, an expiry while a booking is held and one after the notice to leave, an ensemble that is never there with a notice to leave while registering, an entry that is another node's. With two operations in place of one the step 'zk unbroken' counts a gap.

--- a/internal/rehearse/ensemble.go
+++ b/internal/rehearse/ensemble.go
@@ -29,6 +29,9 @@
 //	zk unbroken PATH  the znode is there, and was without a gap since it first was
 //	zk remove PATH    somebody removes the znode
 //	zk expire         all sessions expire
+//	zk mute           connections break, and those taken hear nothing until it is up again
+//	zk asked PATH     waits until the content of the znode was read
+//	zk holds PATH     tells the data of the znode, whoever owns it
 //	zk guard PATH AUTH    a znode on which only USER:PASSWORD has rights
 //	zk rights PATH    waits until the znode is there; tells who has which rights on it
 //	zk down, zk up    connections break, and none is taken until it is up again
@@ -43,6 +46,8 @@
 	conns   map[net.Conn]*zkConn
 	last    int64
 	down    bool
+	mute    bool
+	asked   map[string]int // how often the content of a znode was read
 }
 
 type znode struct {
@@ -103,7 +108,7 @@
 		return nil, err
 	}
 	e := &ensemble{l: l, changed: make(chan struct{}), nodes: map[string]znode{"/": {}}, live: map[int64]bool{},
-		conns: map[net.Conn]*zkConn{}, seen: map[string]bool{}, gaps: map[string]int{}, last: 100}
+		conns: map[net.Conn]*zkConn{}, seen: map[string]bool{}, gaps: map[string]int{}, asked: map[string]int{}, last: 100}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -160,6 +165,14 @@
 			return "zk has " + at, nil
 		}
 		return line, nil
+	case "asked":
+		e.until(func() bool { return e.asked[at] > 0 })
+		return line, nil
+	case "holds":
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		at, _, _ = cut(at)
+		return fmt.Sprintf("zk holds %s %s", at, e.nodes[at].data), nil
 	case "unbroken":
 		e.mu.Lock()
 		defer e.mu.Unlock()
@@ -218,7 +231,10 @@
 		}
 		e.breakAll()
 	case "down", "up":
-		e.down = word == "down"
+		e.down, e.mute = word == "down", false
+		e.breakAll()
+	case "mute":
+		e.mute = true
 		e.breakAll()
 	default:
 		return "", errors.New("unknown step of the ensemble")
@@ -266,7 +282,7 @@
 	defer c.Close()
 	k := &zkConn{watches: map[string]bool{}}
 	e.mu.Lock()
-	down := e.down
+	down, mute := e.down, e.mute
 	if !down {
 		e.conns[c] = k
 	}
@@ -277,7 +293,10 @@
 		e.mu.Unlock()
 	}()
 	b, err := frame(c)
-	if down || err != nil || len(b) < 28 {
+	if mute {
+		io.Copy(io.Discard, c) // until the other side has enough, or the connection is broken
+	}
+	if down || mute || err != nil || len(b) < 28 {
 		return
 	}
 	e.mu.Lock()
@@ -380,6 +399,7 @@
 		}
 		out := header(xid, 0)
 		if op == 4 {
+			e.asked[at]++
 			out = str(out, n.data)
 		} else {
 			names := e.children(at)
