Draw one pause for one end of a connection to the ensemble

The client library tells the end of a session beside that of its connection: the machine took them for two ends and doubled the next pause. Read, then shown by TestFlappingIsBounded, which fails without.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -129,6 +129,9 @@
 
 // Closed takes in that a connection ended or could not be made. The session may last; a new connection is to wait until DialAt.
 func (m *Machine) Closed(now float64) {
+	if m.session == 0 && !m.asked {
+		return // the end of a session is told beside that of its connection
+	}
 	if m.session != 0 && now-m.since >= m.sessionMs {
 		m.dials = 0 // it held: this is no flapping
 	}
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -255,6 +255,10 @@
 		now = m.DialAt(now) + 1
 		m.Opened(now, 1)
 		m.Closed(now)
+		at := m.dialAt
+		if m.Closed(now); m.dialAt != at {
+			t.Fatal("one end, told twice, is drawn a pause for twice")
+		}
 		tries++
 	}
 	if most := 60000/(6000*dialPart*leastPart) + 1; float64(tries) > most {
