Give up a silent ensemble at the end of a drain also where a step was out before the notice

Found on a second reading: the time to give the connection up was set by Registration.run when a step began, so that a step that was out when the notice came had none and waited for the library's own limit, two thirds of the session. Service never waited for it; the goroutine and the connection did. Now Leave sets it. TestSilenceDoesNotHoldUpTheEnd fails without.

--- a/internal/zk/zk.go
+++ b/internal/zk/zk.go
@@ -32,7 +32,6 @@
 	mu      sync.Mutex // of all below
 	machine *membership.Machine
 	phase   membership.Phase // as it was logged last
-	by      float64          // when the connection is given up; 0: the node stays
 }
 
 func now() float64 { return float64(time.Now().UnixNano()) / 1e6 }
@@ -75,10 +74,10 @@
 // Leave marks the node as draining and removes the znode at an absolute time, in Unix milliseconds. It returns at once. Where the
 // ensemble does not answer, the connection is given up leaveFor later.
 func (r *Registration) Leave(by float64) {
-	r.tell(func(m *membership.Machine, now float64) {
-		m.Leave(now, by)
-		r.by = by + leaveFor
-	})
+	if r.conn != nil { // a step that is out may wait for longer
+		time.AfterFunc(time.Until(at(by+leaveFor)), r.conn.Close)
+	}
+	r.tell(func(m *membership.Machine, now float64) { m.Leave(now, by) })
 }
 
 // leaveFor is how long the removal may take, in milliseconds.
@@ -160,7 +159,7 @@
 		r.mu.Lock()
 		t := now()
 		s, ok, wake := r.machine.Next(t)
-		by, phase, was := r.by, r.machine.Phase(), r.phase
+		phase, was := r.machine.Phase(), r.phase
 		r.phase = phase
 		r.mu.Unlock()
 		if phase != was && phase == membership.Foreign {
@@ -173,14 +172,7 @@
 			return
 		}
 		if ok {
-			var late *time.Timer
-			if by > 0 {
-				late = time.AfterFunc(time.Until(at(by)), r.conn.Close)
-			}
 			result, err := r.step(s)
-			if late != nil {
-				late.Stop()
-			}
 			r.said(s, result, err)
 			r.mu.Lock()
 			r.machine.Done(now(), s, result)
--- a/internal/zk/zk_test.go
+++ b/internal/zk/zk_test.go
@@ -11,6 +11,49 @@
 	"whinrudder/internal/membership"
 )
 
+// A step that waits for an ensemble which fell silent must not hold up the end: the connection is given up in time, also where the
+// notice to leave came after the step had begun.
+func TestSilenceDoesNotHoldUpTheEnd(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	asked := make(chan struct{})
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		c.Read(make([]byte, 256))                   // the opening of a session, which is granted:
+		b := binary.BigEndian.AppendUint32(nil, 36) // a frame of version, time, session and password
+		b = binary.BigEndian.AppendUint64(b, 60000) // version 0, milliseconds
+		b = binary.BigEndian.AppendUint64(b, 101)   // session
+		b = binary.BigEndian.AppendUint32(b, 16)    // length of the password
+		c.Write(append(b, make([]byte, 16)...))     // and no word more
+		c.Read(make([]byte, 256))
+		close(asked)
+		io.Copy(io.Discard, c)
+	}()
+	lines := make(chan string, 64)
+	r := Register([]string{l.Addr().String()}, 60000, "/nodes", membership.Entry{Name: "n1"}, nil, func(_ string, pairs ...any) {
+		lines <- pairs[3].(string)
+	})
+	<-asked
+	r.Leave(now())
+	for {
+		select {
+		case line := <-lines:
+			if line == "left" {
+				return
+			}
+		case <-time.After(10 * time.Second):
+			t.Fatal("did not leave")
+		}
+	}
+}
+
 // An ensemble that answers with a frame of an absurd length costs its connection: the library would make room for 2 GB. The node
 // says what it lost, tries again later, and leaves in time.
 func TestAbsurdLengthCostsTheConnection(t *testing.T) {
