--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -29,8 +30,12 @@
 	w         *world
 	announce  string
 	nodes     []*node
+	reported  atomic.Int64 // Unix milliseconds of the last report to the announce service
 }
 
+// lastReport returns the time of the last report to the announce service.
+func (s *stage) lastReport() time.Time { return time.UnixMilli(s.reported.Load()) }
+
 func (s *stage) file(name string) string { return filepath.Join(s.tmp, name) }
 
 // start starts a payout node whose processes share the folder tmp.
@@ -91,6 +96,8 @@
 		fmt.Fprintln(os.Stderr, err)
 		return notRun
 	}
+	s := &stage{root: root, tmp: tmp, trouble: os.Getenv("TROUBLE") != "0", rec: rec, w: newWorld(rec),
+		announce: udp.LocalAddr().String()}
 	go func() {
 		buf, last := make([]byte, 256), ""
 		for {
@@ -98,14 +105,13 @@
 			if err != nil {
 				return
 			}
+			s.reported.Store(time.Now().UnixMilli())
 			if text := string(buf[:n]); text != last {
 				last = text
 				rec.line("report %q", text)
 			}
 		}
 	}()
-	s := &stage{root: root, tmp: tmp, trouble: os.Getenv("TROUBLE") != "0", rec: rec, w: newWorld(rec),
-		announce: udp.LocalAddr().String()}
 	defer s.end()
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
