--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -9,7 +9,6 @@
 	"os"
 	"os/signal"
 	"path/filepath"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -30,12 +29,8 @@
 	w         *world
 	announce  string
 	nodes     []*node
-	reported  atomic.Int64 // Unix milliseconds of the last report to the announce service
 }
 
-// lastReport returns the time of the last report to the announce service.
-func (s *stage) lastReport() time.Time { return time.UnixMilli(s.reported.Load()) }
-
 func (s *stage) file(name string) string { return filepath.Join(s.tmp, name) }
 
 // start starts a payout node whose processes share the folder tmp.
@@ -105,7 +100,6 @@
 			if err != nil {
 				return
 			}
-			s.reported.Store(time.Now().UnixMilli())
 			if text := string(buf[:n]); text != last {
 				last = text
 				rec.line("report %q", text)
