Close a request only when the caller that sent it has gone

Cause: core.CallerGone named the request by its id alone, which the caller chooses. For a duplicate the core found the open request of the other connection and closed it. Evidence: the lost requests are exactly those whose id was sent again; without the other client none is lost. In the core alone a duplicate and the leaving of its caller left no open request. Change: CallerGone carries the sink that the request arrived with (connection and tag), and the core compares it. The emulators send it as well. An id is the caller's word, a sink is the node's own, so this holds for each front and each order. Test seen to fail before: without the comparison TestLeavingCallerOfADuplicateKeepsTheOpenRequest says "got 0 open requests after other callers left, want 1", and the exchanges http/, uwsgi/ and h2c/same-id.txt "answer a ended: nothing came".

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -56,7 +56,8 @@
 	WriteDeadline float64 // the connection is cut if the peer has not read the answer by then
 }
 
-// Sink receives the answers of one connection. Deliver must not block.
+// Sink receives the answer to one request or health check. Deliver must not block. The dynamic type must be comparable,
+// because a Sink also identifies the request of a caller that gives up.
 type Sink interface{ Deliver(Answer) }
 
 // RunEnd is how a run ended.
@@ -79,8 +80,12 @@
 type (
 	// RequestArrived reports a request that a front has read completely.
 	RequestArrived struct{ *Request }
-	// CallerGone reports that the caller of a request closed its connection.
-	CallerGone struct{ ID string }
+	// CallerGone reports that a caller gave up the request that it sent with the given id and ReplyTo. The id alone does
+	// not identify the request, because any other caller may have sent the same id.
+	CallerGone struct {
+		ID      string
+		ReplyTo Sink
+	}
 	// HealthCheck is a health check; a deep one tests whether the worker pool completes work.
 	HealthCheck struct {
 		Deep    bool
@@ -474,10 +479,7 @@
 	case RequestArrived:
 		c.handleArrival(i.Request)
 	case CallerGone:
-		if r := c.requests[i.ID]; r != nil && r.open {
-			c.addEvent(whinrudder.Gone{ID: id(r.ID)})
-			c.closeRequest(r)
-		}
+		c.handleCallerGone(i)
 	case HealthCheck:
 		c.handleHealthCheck(i)
 	case StopNotice:
@@ -540,6 +542,17 @@
 	}
 }
 
+// handleCallerGone closes the open request of a caller that gave it up. A caller whose request was a duplicate has none,
+// even if the request with that id is open: that one belongs to another caller, who still waits.
+func (c *Core) handleCallerGone(gone CallerGone) {
+	r := c.requests[gone.ID]
+	if r == nil || !r.open || r.ReplyTo != gone.ReplyTo {
+		return
+	}
+	c.addEvent(whinrudder.Gone{ID: id(r.ID)})
+	c.closeRequest(r)
+}
+
 // handlePoolReady creates the decision module once the worker pool is up. For a cold pool the module's first step has
 // the time at which the pool started, because its warm-up began then. For a warm pool it has the current time: if the
 // pool started an hour ago, the timers of such a first step would be an hour late, which the module would take for a
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -225,7 +225,7 @@
 	for i := range 5000 {
 		now += 10
 		c.Step(now, []Input{RequestArrived{&Request{ID: fmt.Sprint(i), ArrivedAt: now, Due: now + 2000, KB: 30, ReplyTo: sink("a")}},
-			CallerGone{fmt.Sprint(i - 2)}})
+			CallerGone{fmt.Sprint(i - 2), sink("a")}})
 		maxQueued = max(maxQueued, len(c.startQueue))
 	}
 	if maxQueued == 0 || maxQueued > startQueueTrimMin {
@@ -242,6 +242,34 @@
 	}
 }
 
+// Guards against a request that stays unanswered because another caller sent its id and left (review/1). Only the caller
+// of the open request can give it up, whether the other one leaves in the step of its arrival, later or repeatedly.
+func TestLeavingCallerOfADuplicateKeepsTheOpenRequest(t *testing.T) {
+	c, now := newSharingCore(t)
+	arrive := func(from string) Input {
+		return RequestArrived{&Request{ID: "a", ArrivedAt: now, Due: now + 2000, KB: 30, ReplyTo: sink(from)}}
+	}
+	c.Step(now, []Input{arrive("owner")})
+	c.Step(now+1, []Input{arrive("other"), CallerGone{"a", sink("other")}, arrive("third")})
+	c.Step(now+2, []Input{CallerGone{"a", sink("third")}, CallerGone{"a", sink("third")}})
+	if c.Open() != 1 {
+		t.Fatalf("got %d open requests after other callers left, want 1", c.Open())
+	}
+	out := c.Step(now+3, []Input{RunFinished{ID: "a", Result: []byte("r")}})
+	answered := slices.ContainsFunc(out, func(o Output) bool {
+		r, ok := o.(Reply)
+		return ok && r.To == sink("owner") && r.Outcome == Served
+	})
+	if !answered {
+		t.Errorf("got %v, want an answer to the first caller", out)
+	}
+	c.Step(now+4, []Input{RequestArrived{&Request{ID: "b", ArrivedAt: now, Due: now + 2000, KB: 30, ReplyTo: sink("owner")}}})
+	c.Step(now+5, []Input{CallerGone{"b", sink("owner")}})
+	if c.Open() != 0 {
+		t.Errorf("got %d open requests after their own caller left, want 0", c.Open())
+	}
+}
+
 // Requests that wait for the answer of another are removed when their callers leave or when they fall due, and the
 // remaining ones are served.
 func TestWaitingRepeatsAreRemovedWhenTheyEnd(t *testing.T) {
@@ -255,7 +283,7 @@
 	}
 	c.Step(now, []Input{arrive("due", now+100), arrive("served", now+2000)})
 	for i := range 1000 {
-		c.Step(now, []Input{CallerGone{fmt.Sprint("left", i)}})
+		c.Step(now, []Input{CallerGone{fmt.Sprint("left", i), sink(fmt.Sprint("left", i))}})
 	}
 	now += 200
 	c.Step(now, nil)
--- a/internal/emu/baseline/baseline_test.go
+++ b/internal/emu/baseline/baseline_test.go
@@ -99,7 +99,7 @@
 						for id, r := range reqs {
 							if !r.gone && r.answers == 0 && id == fmt.Sprint("r", n) {
 								r.gone = true
-								step(core.CallerGone{ID: id})
+								step(core.CallerGone{ID: id, ReplyTo: sink{}})
 							}
 						}
 					case what == 9 && math.IsInf(notice, 1) && rapid.IntRange(0, 5).Draw(t, "leave") == 0:
--- a/internal/emu/baseline/server.go
+++ b/internal/emu/baseline/server.go
@@ -177,7 +177,7 @@
 		}
 		s.queued = append(s.queued, r)
 	case core.CallerGone:
-		if r := s.requests[i.ID]; r != nil && r.open {
+		if r := s.requests[i.ID]; r != nil && r.open && r.ReplyTo == i.ReplyTo {
 			s.close(r)
 		}
 	case core.RunFinished:
--- a/internal/emu/fleet/server.go
+++ b/internal/emu/fleet/server.go
@@ -447,7 +447,7 @@
 	}
 	if t.read {
 		s.forget(t)
-		s.input(core.CallerGone{ID: t.wireID()})
+		s.input(core.CallerGone{ID: t.wireID(), ReplyTo: t})
 	}
 }
 
--- a/internal/kept/harness_test.go
+++ b/internal/kept/harness_test.go
@@ -217,7 +217,7 @@
 // abandon makes the caller of a request give up.
 func (h *harness) abandon(req *testRequest) {
 	req.abandoned = true
-	h.step(core.CallerGone{ID: req.id})
+	h.step(core.CallerGone{ID: req.id, ReplyTo: req})
 }
 
 // flush does the work of the Store's goroutines: it drops segments, reads records and writes one batch.
--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -193,7 +193,7 @@
 	code := k.run()
 	for _, p := range k.pending {
 		if p.id != "" {
-			k.node.submit(core.CallerGone{ID: p.id})
+			k.node.submit(core.CallerGone{ID: p.id, ReplyTo: replyHandle{k, p.tag}})
 		}
 	}
 	k.logAndClose(code)
@@ -275,7 +275,7 @@
 	}
 	if e.Cancelled {
 		if p, ok := k.removePending(e.Tag); ok && p.id != "" {
-			k.node.submit(core.CallerGone{ID: p.id})
+			k.node.submit(core.CallerGone{ID: p.id, ReplyTo: replyHandle{k, p.tag}})
 		}
 		if len(k.pending) == 0 {
 			_, lastAnswer := k.proto.Served()
