Measure a node's memory by its limit under loads on each front

Change: whinrudder-kit lab memory puts nine loads on a node of a given memory limit, beside calm callers, and reads the highest anonymous memory of its process: requests at full speed, unfinished heads, bytes behind an open request, resting connections, and on h2c unfinished streams and answers that are not read.

--- a/cmd/whinrudder-kit/lab.go
+++ b/cmd/whinrudder-kit/lab.go
@@ -113,6 +113,20 @@
 					return err
 				})
 			},
+		}, {
+			Name: "memory", Usage: "anonymous memory of a node by its memory limit, under hostile peers on each front",
+			Flags: []cli.Flag{
+				&cli.IntFlag{Name: "seconds", Usage: "of each load", Value: 5},
+				&cli.IntSliceFlag{Name: "limit", Usage: "memory limits of the node, in MB", Value: []int{32, 192}},
+				&cli.StringSliceFlag{Name: "load", Usage: "loads to measure", Value: lab.MemoryLoadNames()},
+				&cli.StringFlag{Name: "program",
+					Usage: "the node's program; by default whinrudder in the folder of this program"},
+			},
+			Action: func(ctx context.Context, c *cli.Command) error {
+				return withProgram(ctx, c, func(ctx context.Context, program string) error {
+					return measureMemory(ctx, out, program, c.StringSlice("load"), c.IntSlice("limit"), c.Int("seconds"))
+				})
+			},
 		}, {
 			Name:  "kept",
 			Usage: "what keeping results costs: storage engines, a node with and without it, a disk stall, recoveries",
@@ -157,3 +171,19 @@
 			Action: func(context.Context, *cli.Command) error { return lab.ServeStandard(out) },
 		}}...)}
 }
+
+// measureMemory measures each memory load with each memory limit and prints the table.
+func measureMemory(ctx context.Context, out io.Writer, program string, loads []string, limits []int, seconds int) error {
+	var all []lab.MemoryRun
+	for _, limit := range limits {
+		for _, load := range loads {
+			r, err := lab.MeasureMemory(ctx, program, load, limit, time.Duration(seconds)*time.Second)
+			if err != nil {
+				return err
+			}
+			all = append(all, r)
+		}
+	}
+	lab.WriteMemory(out, all)
+	return nil
+}
--- a/internal/lab/fronts.go
+++ b/internal/lab/fronts.go
@@ -89,17 +89,33 @@
 }
 
 // labConfig is the configuration of a measured node: a format whose arguments are the addresses of the HTTP front and
-// the worker pool.
+// the worker pool, and the memory limit in MB.
 const labConfig = `{"name":"n1","listen":"%s","pool":"%s","announce":"127.0.0.1:9","seed":"1","stop_ms":500,
-"limits":{"cores":1,"memory_mb":192,"sockets":1024},"settings":{"servers":3,"tick_ms":2,"profiles":[{"name":"status-lookup",
+"limits":{"cores":1,"memory_mb":%d,"sockets":1024},"settings":{"servers":3,"tick_ms":2,"profiles":[{"name":"status-lookup",
 "aim_ms":6000,"deadline_ms":9000,"repeat":"repeatable","worth":1},{"name":"payout-book","aim_ms":6000,"deadline_ms":9000,"repeat":"once","worth":3}],"specifics":{"below":"silent","callers":1,"cores":256,
 "halt":"abort","heard_for_ms":1000,"keepalive_max_ms":30000,"ram_kb":9000000,"run_factor":16,"say":"window",
 "passes_deadline":true,"tells_gone":true,"own_stats":["cpu_busy","runnable","mem_used","sockets"]},
 "rules":{"fall_multiple":8,"drain_grace_ms":2000}}}`
 
-// startNode starts a node with the given fronts and waits until it is healthy. Sections are further sections of the
-// operator's file; if not empty, they begin with a comma.
+// nodeSetup describes a measured node.
+type nodeSetup struct {
+	fronts   []string
+	sections string // further sections of the operator's file; if not empty, they begin with a comma
+	memoryMB int    // memory limit of the node's process
+	pool     func(net.Listener)
+}
+
+// platformMemoryMB is the largest memory limit that the platform gives a node.
+const platformMemoryMB = 192
+
+// startNode starts a node with the largest memory limit of the platform and a worker pool that finishes each run at
+// once. See startNodeWith.
 func startNode(ctx context.Context, program string, fronts []string, sections string) (n *testNode, err error) {
+	return startNodeWith(ctx, program, nodeSetup{fronts, sections, platformMemoryMB, instantPool})
+}
+
+// startNodeWith starts a node and waits until it is healthy.
+func startNodeWith(ctx context.Context, program string, setup nodeSetup) (n *testNode, err error) {
 	n = &testNode{addrs: map[string]string{}}
 	dir, err := os.MkdirTemp("", "node")
 	if err != nil {
@@ -109,15 +125,15 @@
 	if err != nil {
 		return nil, err
 	}
-	go instantPool(pool)
+	go setup.pool(pool)
 	for _, f := range []string{"http", "uwsgi", "h2c"} {
 		if n.addrs[f], err = FreeAddr(); err != nil {
 			return nil, err
 		}
 	}
-	config := fmt.Sprintf(labConfig, n.addrs["http"], pool.Addr())
-	operator := sections
-	for _, f := range fronts {
+	config := fmt.Sprintf(labConfig, n.addrs["http"], pool.Addr(), setup.memoryMB)
+	operator := setup.sections
+	for _, f := range setup.fronts {
 		if f != "http" {
 			operator += fmt.Sprintf(`,%q:{"listen":%q}`, f, n.addrs[f])
 		}
--- /dev/null
+++ b/internal/lab/memory.go
@@ -0,0 +1,381 @@
+package lab
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/base64"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fastjson"
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
+)
+
+// MemoryRun is the result of one load that hostile peers put on the memory of a node.
+type MemoryRun struct {
+	Load     string
+	LimitMB  int     // memory_mb of the node
+	PeakMB   float64 // highest anonymous memory of the node's process
+	Messages int64   // messages or connections of the hostile peers
+	Calm     int64   // requests of the other callers
+	Lost     int64   // those of them that got no answer
+	Served   int64   // those of them that were answered with a result
+}
+
+// memoryLoad is a load on the memory of a node. Its send function acts on one connection and returns when that is of no
+// use any more; it is called again on a new connection until the time is over.
+type memoryLoad struct {
+	name, front string
+	conns       int
+	send        func(p *memoryPeer)
+}
+
+// Sizes of what the hostile peers send. They stay within the limits of the node, so that it keeps what it reads.
+const (
+	paddingBytes      = 7500  // value of a header field that no front uses
+	aheadBytes        = 15000 // sent while a request is in progress
+	unfinishedStreams = 128
+)
+
+var memoryLoads = []memoryLoad{
+	{"requests", "http", 100, func(p *memoryPeer) { p.repeat(func() bool { return p.exchange("unknown") }) }},
+	{"requests", "uwsgi", 100, func(p *memoryPeer) { p.exchange("unknown") }},
+	{"requests", "h2c", 100, func(p *memoryPeer) { p.repeat(func() bool { return p.exchangeH2("unknown") }) }},
+	{"unfinished", "http", 600, func(p *memoryPeer) {
+		p.write([]byte("POST /rpc/status-lookup HTTP/1.1\r\nX-Note: " + strings.Repeat("x", paddingBytes)))
+		p.awaitClose()
+	}},
+	{"unfinished", "uwsgi", 600, func(p *memoryPeer) {
+		message := encodeRequest("uwsgi", "unknown")
+		p.write(message[:len(message)-1])
+		p.awaitClose()
+	}},
+	{"unfinished", "h2c", 600, func(p *memoryPeer) {
+		p.exchangeH2("instant") // its answer raises the limit of streams
+		for range unfinishedStreams {
+			p.stream += 2
+			p.headersH2(p.stream, false)
+		}
+		p.awaitClose()
+	}},
+	{"ahead", "http", 600, func(p *memoryPeer) {
+		p.write(append(encodeRequest("http", "held"), strings.Repeat("x", aheadBytes)...))
+		p.awaitClose()
+	}},
+	{"resting", "http", 600, func(p *memoryPeer) {
+		if p.exchange("unknown") {
+			p.awaitClose()
+		}
+	}},
+	{"unread", "h2c", 600, func(p *memoryPeer) { // the answers wait for a window that never opens
+		p.exchangeH2("instant")
+		p.framer.WriteSettings(http2.Setting{ID: http2.SettingInitialWindowSize, Val: 0})
+		for range unfinishedStreams {
+			p.stream += 2
+			p.requestH2(p.stream, "instant")
+		}
+		p.awaitClose()
+	}},
+}
+
+// MemoryLoadNames returns the names of the loads in the order in which they run.
+func MemoryLoadNames() (names []string) {
+	for _, l := range memoryLoads {
+		names = append(names, l.name+"/"+l.front)
+	}
+	return names
+}
+
+// MeasureMemory puts one load on a new node with a memory limit, beside calm callers of the HTTP front, and returns the
+// highest anonymous memory of the node's process. It does not enforce the limit.
+func MeasureMemory(ctx context.Context, program, name string, limitMB int, length time.Duration) (r MemoryRun, err error) {
+	r = MemoryRun{Load: name, LimitMB: limitMB}
+	var load memoryLoad
+	for _, l := range memoryLoads {
+		if l.name+"/"+l.front == name {
+			load = l
+		}
+	}
+	if load.send == nil {
+		return r, fmt.Errorf("lab: unknown memory load %q", name)
+	}
+	n, err := startNodeWith(ctx, program, nodeSetup{fronts: []string{load.front}, memoryMB: limitMB, pool: selectivePool})
+	if err != nil {
+		return r, err
+	}
+	defer n.stop()
+	end := time.Now().Add(length)
+	var wait sync.WaitGroup
+	for range 12 {
+		wait.Go(func() { callCalmly(n.addrs["http"], end, &r) })
+	}
+	time.Sleep(length / 10) // some calm requests are open when the load begins
+	for range load.conns {
+		wait.Go(func() {
+			for time.Now().Before(end) && ctx.Err() == nil {
+				p, err := dialMemoryPeer(load.front, n.addrs[load.front], end, &r.Messages)
+				if err != nil {
+					time.Sleep(20 * time.Millisecond)
+					continue
+				}
+				load.send(p)
+				p.conn.Close()
+			}
+		})
+	}
+	for time.Now().Before(end) {
+		r.PeakMB = max(r.PeakMB, memoryMB(n.pid, "RssAnon"))
+		time.Sleep(10 * time.Millisecond)
+	}
+	wait.Wait()
+	return r, nil
+}
+
+// WriteMemory writes the runs as a table.
+func WriteMemory(w io.Writer, all []MemoryRun) {
+	fmt.Fprintf(w, "%-16s %8s %8s %9s %6s %7s %6s\n", "load", "limit MB", "peak MB", "messages", "calm", "served", "lost")
+	for _, r := range all {
+		fmt.Fprintf(w, "%-16s %8d %8.1f %9d %6d %7d %6d\n", r.Load, r.LimitMB, r.PeakMB, r.Messages, r.Calm, r.Served, r.Lost)
+	}
+}
+
+// calmAnswerTimeout is how long a calm caller waits for an answer: longer than its request says.
+const calmAnswerTimeout = 7 * time.Second
+
+// callCalmly sends requests that the worker pool runs, one after another, and counts their answers.
+func callCalmly(addr string, end time.Time, r *MemoryRun) {
+	for time.Now().Before(end) {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			time.Sleep(20 * time.Millisecond) // a refused connection carries no request
+			continue
+		}
+		in := bufio.NewReader(c)
+		for last := false; !last && time.Now().Before(end); {
+			c.SetDeadline(time.Now().Add(calmAnswerTimeout))
+			atomic.AddInt64(&r.Calm, 1)
+			if _, err := c.Write(encodeRequest("http", "calm")); err != nil {
+				atomic.AddInt64(&r.Lost, 1)
+				break
+			}
+			resp, err := http.ReadResponse(in, nil)
+			if err != nil {
+				atomic.AddInt64(&r.Lost, 1)
+				break
+			}
+			io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+			if last = resp.Close; resp.StatusCode == 200 {
+				atomic.AddInt64(&r.Served, 1)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		c.Close()
+	}
+}
+
+// memoryPeer is a connection of a hostile peer.
+type memoryPeer struct {
+	conn     net.Conn
+	reader   *bufio.Reader
+	front    string
+	end      time.Time
+	messages *int64
+
+	framer      *http2.Framer // nil unless the front is h2c
+	encoder     *hpack.Encoder
+	headerBlock bytes.Buffer
+	stream      uint32 // of the latest request; odd
+}
+
+func dialMemoryPeer(front, addr string, end time.Time, messages *int64) (*memoryPeer, error) {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	c.SetDeadline(end)
+	p := &memoryPeer{conn: c, reader: bufio.NewReader(c), front: front, end: end, messages: messages}
+	if front == "h2c" {
+		io.WriteString(c, http2.ClientPreface)
+		p.framer = http2.NewFramer(c, p.reader)
+		p.encoder = hpack.NewEncoder(&p.headerBlock)
+		p.stream = ^uint32(0) // the first request has stream 1
+		p.framer.WriteSettings()
+		p.framer.WriteSettingsAck()
+	}
+	return p, nil
+}
+
+// repeat calls do until it returns false or the time is over.
+func (p *memoryPeer) repeat(do func() bool) {
+	for time.Now().Before(p.end) && do() {
+	}
+}
+
+func (p *memoryPeer) write(b []byte) bool {
+	atomic.AddInt64(p.messages, 1)
+	_, err := p.conn.Write(b)
+	return err == nil
+}
+
+// awaitClose reads and discards until the node closes the connection.
+func (p *memoryPeer) awaitClose() { io.Copy(io.Discard, p.reader) }
+
+// exchange sends a request with a body and reads the answer. It returns false once the connection ends.
+func (p *memoryPeer) exchange(body string) bool {
+	if !p.write(encodeRequest(p.front, body)) {
+		return false
+	}
+	resp, err := http.ReadResponse(p.reader, nil)
+	if err != nil {
+		return false
+	}
+	io.Copy(io.Discard, resp.Body)
+	resp.Body.Close()
+	return !resp.Close
+}
+
+// headersH2 opens a stream with the header fields of a request.
+func (p *memoryPeer) headersH2(id uint32, end bool) bool {
+	atomic.AddInt64(p.messages, 1)
+	p.headerBlock.Reset()
+	for _, f := range append([][2]string{{":method", "POST"}, {":scheme", "http"}, {":path", "/rpc/status-lookup"}},
+		memoryFields()...) {
+		p.encoder.WriteField(hpack.HeaderField{Name: strings.ToLower(f[0]), Value: f[1], Sensitive: true})
+	}
+	return p.framer.WriteHeaders(http2.HeadersFrameParam{StreamID: id, BlockFragment: p.headerBlock.Bytes(), EndStream: end,
+		EndHeaders: true}) == nil
+}
+
+// requestH2 sends a request with a body.
+func (p *memoryPeer) requestH2(id uint32, body string) bool {
+	return p.headersH2(id, false) && p.framer.WriteData(id, true, []byte(body)) == nil
+}
+
+// exchangeH2 sends a request and reads until its stream has ended. It returns false once the connection ends.
+func (p *memoryPeer) exchangeH2(body string) bool {
+	p.stream += 2
+	id := p.stream
+	if !p.requestH2(id, body) {
+		return false
+	}
+	for {
+		f, err := p.framer.ReadFrame()
+		if err != nil || f.Header().Type == http2.FrameGoAway {
+			return false
+		}
+		_, reset := f.(*http2.RSTStreamFrame)
+		if f.Header().StreamID == id && (reset || f.Header().Flags.Has(http2.FlagDataEndStream)) {
+			return true
+		}
+	}
+}
+
+// memoryFields returns the header fields of a request that is due late and has a long field that nobody uses.
+func memoryFields() [][2]string {
+	fields := requestFields(requestIDs.Add(1))
+	for i := range fields {
+		if fields[i][0] == "req-wait-ms" {
+			fields[i][1] = "9000"
+		}
+	}
+	return append(fields, [2]string{"x-note", strings.Repeat("x", paddingBytes)})
+}
+
+// encodeRequest returns a request in the form of a front. Calm requests are short and due earlier than the others.
+func encodeRequest(front, body string) (b []byte) {
+	fields := memoryFields()
+	if body == "calm" {
+		fields = requestFields(requestIDs.Add(1))
+	}
+	if front == "http" {
+		b = append(b, "POST /rpc/status-lookup HTTP/1.1\r\nHost: a\r\n"...)
+		for _, f := range fields {
+			b = fmt.Appendf(b, "%s: %s\r\n", f[0], f[1])
+		}
+		return fmt.Appendf(b, "Content-Length: %d\r\n\r\n%s", len(body), body)
+	}
+	vars := [][2]string{{"REQUEST_METHOD", "POST"}, {"PATH_INFO", "/rpc/status-lookup"},
+		{"CONTENT_LENGTH", fmt.Sprint(len(body))}}
+	for _, f := range fields {
+		vars = append(vars, [2]string{"HTTP_" + strings.ToUpper(strings.ReplaceAll(f[0], "-", "_")), f[1]})
+	}
+	var packet []byte
+	for _, v := range vars {
+		for _, s := range v {
+			packet = append(append(packet, byte(len(s)), byte(len(s)>>8)), s...)
+		}
+	}
+	b = append(append(b, 0, byte(len(packet)), byte(len(packet)>>8), 0), packet...)
+	return append(b, body...)
+}
+
+// Run times of the worker pool of a memory run.
+const (
+	calmRunTime = 700 * time.Millisecond
+	heldRunTime = 4 * time.Second
+)
+
+// resultBytes is the size of a result: the largest that the platform allows.
+const resultBytes = 4096
+
+// selectivePool is a fake worker pool that runs requests by their body: a calm one takes calmRunTime, a held one
+// heldRunTime, an instant one no time, and it knows no others.
+func selectivePool(l net.Listener) {
+	result := base64.StdEncoding.EncodeToString(bytes.Repeat([]byte("r"), resultBytes))
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		var mu sync.Mutex // guards serial and the order of the notices
+		serial := 0
+		finish := func(call string) {
+			mu.Lock()
+			defer mu.Unlock()
+			serial++
+			fmt.Fprintf(c, `{"msg":"finished","serial":%d,"call":"%s","how":"OK","duration":700,"blob":"%s"}`+"\n", serial,
+				call, result)
+		}
+		say := func(format string, args ...any) {
+			mu.Lock()
+			defer mu.Unlock()
+			fmt.Fprintf(c, format+"\n", args...)
+		}
+		var p fastjson.Parser
+		for r := bufio.NewScanner(c); r.Scan(); {
+			v, err := p.ParseBytes(r.Bytes())
+			if err != nil {
+				break
+			}
+			call := string(v.GetStringBytes("call"))
+			switch string(v.GetStringBytes("msg")) {
+			case "bind":
+				say(`{"msg":"bound","how":"WARM","duration":5}`)
+			case "poll":
+				say(`{"msg":"polled","cookie":"%s","stats":[0.5,1,0.1,4]}`, v.GetStringBytes("cookie"))
+			case "spawn":
+				body, _ := base64.StdEncoding.DecodeString(string(v.GetStringBytes("blob")))
+				switch string(body) {
+				case "calm":
+					time.AfterFunc(calmRunTime, func() { finish(call) })
+				case "held":
+					time.AfterFunc(heldRunTime, func() { finish(call) })
+				case "instant":
+					finish(call)
+				default:
+					say(`{"msg":"unknown","how":"spawn","call":"%s"}`, call)
+				}
+			}
+		}
+		c.Close()
+	}
+}
--- a/internal/lab/stall.go
+++ b/internal/lab/stall.go
@@ -60,7 +60,7 @@
 	}
 	defer pool.Close()
 	go instantPool(pool)
-	cfg, err := settings.ParseConfig([]byte(fmt.Sprintf(labConfig, "127.0.0.1:0", pool.Addr())))
+	cfg, err := settings.ParseConfig([]byte(fmt.Sprintf(labConfig, "127.0.0.1:0", pool.Addr(), platformMemoryMB)))
 	if err != nil {
 		return nil, err
 	}
