Keep nothing of an answered request but its id

Cause: an answered request stayed in the heap of answer deadlines until it was due while an earlier one was open, and held the string of its whole head and, by its sink, its connection with all buffers. The module's timers, the history of ids and the buffers of a step kept such things as well. Change: the deadline leaves the heap with the answer, and the request gives up body and sink; fields are copied out of the buffers that they were read from; timers without a token share slots of 1 ms; ids that may have run are remembered apart from the others, so that a flood can't displace them; what a step has handled is cleared. Why it works: what is kept now depends on what is open and on fixed numbers, not on the rate of requests. Test seen to fail before, TestAnsweredRequestsLeaveOnlyTheirIDs: "100000 answered requests left 28437 kB, want at most 3584", "100001 deadlines", "100002 timers". TestAnsweredRequestsReleaseTheirBody now wants the deadline gone at once, not at the next call of Next; the test of remembered ids counts the same entries in their new place.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -8,14 +8,15 @@
 package core
 
 import (
-	"container/heap"
 	"fmt"
+	"math"
 	"slices"
 
 	"whinrudder"
 	"whinrudder/internal/counters"
 	"whinrudder/internal/knowledge"
 	"whinrudder/internal/ops"
+	"whinrudder/internal/queue"
 )
 
 // Outcome is how a request ended for its caller.
@@ -253,25 +254,9 @@
 	repeatOf      string // id of the request that it repeats, which the module knows
 	intentPending bool   // its run waits until the intent is durable
 	endPending    bool   // its run has ended, and the answer waits until that is durable
-}
-
-// dueHeap is a min-heap of items by due time.
-type dueHeap[T any] []dueItem[T]
-
-type dueItem[T any] struct {
-	at    float64
-	value T
-}
+	maybeRan      bool   // a run was started and is not known to have been moot
 
-func (q dueHeap[T]) Len() int           { return len(q) }
-func (q dueHeap[T]) Less(i, j int) bool { return q[i].at < q[j].at }
-func (q dueHeap[T]) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
-func (q *dueHeap[T]) Push(x any)        { *q = append(*q, x.(dueItem[T])) }
-func (q *dueHeap[T]) Pop() any {
-	last := (*q)[len(*q)-1]
-	(*q)[len(*q)-1] = dueItem[T]{} // let the garbage collector free it
-	*q = (*q)[:len(*q)-1]
-	return last
+	deadline queue.HeapEntry[*request] // in Core.answerDeadlines while it is open
 }
 
 // pendingCheck is a deep health check whose work has not ended.
@@ -294,15 +279,13 @@
 
 	requests  map[string]*request
 	openCount int // number of requests without a final answer
-	recentIDs idHistory
+	recentIDs endedIDs
 	keys      *keyTable
 
-	// answerDeadlines holds the open requests by the time at which the core answers them itself. It may also hold
-	// requests that are already answered.
-	answerDeadlines      dueHeap[*request]
-	wakeups              dueHeap[uint64] // tokens of the module's timers
-	timersAwaitingGauges []uint64        // tokens of due timers that wait for gauges
-	gaugesDueAt          float64         // when those fire without gauges
+	answerDeadlines      queue.Heap[*request] // the open requests, by the time at which the core answers them itself
+	wakeups              wakeups              // the module's timers
+	timersAwaitingGauges []uint64             // tokens of due timers that wait for gauges
+	gaugesDueAt          float64              // when those fire without gauges
 	linkSynced           bool
 	startQueue           []string // ids of the runs to start once the link is synchronized
 
@@ -338,12 +321,19 @@
 		return nil, err
 	}
 	c := &Core{settings: s, seed: seed, requests: map[string]*request{}, keys: newKeyTable(), credit: -1}
-	for _, k := range s.Classes {
-		c.recentIDs.retentionMs = max(c.recentIDs.retentionMs, k.Deadline+maxClockAheadMs)
-	}
+	c.recentIDs = newEndedIDs(longestWait(s.Classes))
+	c.wakeups.setHorizon(longestWait(s.Classes))
 	return c, nil
 }
 
+// longestWait returns the longest deadline of the classes.
+func longestWait(classes []whinrudder.Class) (ms float64) {
+	for _, k := range classes {
+		ms = max(ms, k.Deadline)
+	}
+	return ms
+}
+
 // isKnown reports whether a request with this id is in the table or ended recently.
 func (c *Core) isKnown(id string) bool { return c.requests[id] != nil || c.recentIDs.has(id) }
 
@@ -351,6 +341,7 @@
 // valid until the next call. Time does not go backwards: a now before that of the previous call counts as that one.
 func (c *Core) Step(now float64, in []Input) []Output {
 	c.now = max(c.now, now)
+	clear(c.out) // lets the garbage collector free what the outputs of the last step refer to
 	c.out = c.out[:0]
 	for _, i := range in {
 		c.handleInput(i)
@@ -374,8 +365,8 @@
 			next = at
 		}
 	}
-	if len(c.wakeups) > 0 {
-		sooner(c.wakeups[0].at)
+	if at, ok := c.wakeups.first(); ok {
+		sooner(at)
 	}
 	if len(c.timersAwaitingGauges) > 0 {
 		sooner(c.gaugesDueAt)
@@ -388,11 +379,8 @@
 			sooner(at)
 		}
 	}
-	for len(c.answerDeadlines) > 0 && !c.answerDeadlines[0].value.open {
-		heap.Pop(&c.answerDeadlines)
-	}
-	if len(c.answerDeadlines) > 0 {
-		sooner(c.answerDeadlines[0].at)
+	if at, ok := c.answerDeadlines.First(); ok {
+		sooner(at)
 	}
 	if c.draining && !c.drainFinished {
 		for _, margin := range []float64{stopAcceptMarginMs, idleExitMarginMs, failAllMarginMs} {
@@ -439,9 +427,11 @@
 	c.closeRequest(r)
 }
 
-// closeRequest marks a request as needing no answer. It may stay in a heap for a while, so its body is released.
+// closeRequest marks a request as needing no answer. It may stay in the table until its run ends, so it is released what
+// only an open request needs: its body, its deadline and its sink, which refers to the connection.
 func (c *Core) closeRequest(r *request) {
-	r.open, r.Body = false, nil
+	r.open, r.Body, r.ReplyTo = false, nil, nil
+	c.answerDeadlines.Remove(&r.deadline)
 	c.openCount--
 	c.cancelUnstarted(r)
 	if r.hasOp && r.inDoubt {
@@ -469,7 +459,7 @@
 	if !r.open && (!r.running || r.inDoubt) && c.requests[r.ID] == r {
 		delete(c.requests, r.ID)
 		c.keys.forgetRepeat(r.ID)
-		c.recentIDs.add(r.ID, c.now)
+		c.recentIDs.add(r.ID, r.maybeRan, c.now)
 	}
 }
 
@@ -606,11 +596,12 @@
 		return
 	}
 	c.requests[req.ID] = r
-	if c.sharingIDs && len(c.unsharedIDs) < maxRememberedIDs {
+	if c.sharingIDs && len(c.unsharedIDs) < maxUnsharedIDs {
 		c.unsharedIDs = append(c.unsharedIDs, req.ID)
 	}
 	c.openCount++
-	heap.Push(&c.answerDeadlines, dueItem[*request]{req.Due + unansweredGraceMs, r})
+	r.deadline.Value = r
+	c.answerDeadlines.Set(&r.deadline, req.Due+unansweredGraceMs)
 	// Refuse it if the worker pool is not up or no caller can be waiting any more. An arrival time long ago must not
 	// make the module believe that requests wait unread for that long.
 	if c.policy == nil || c.now-req.ArrivedAt > class.Deadline {
@@ -653,7 +644,9 @@
 			c.emit(Suspend{r.ID}) // no caller waits for it
 		}
 		r.inDoubt = true
-		heap.Push(&c.answerDeadlines, dueItem[*request]{r.Due - returnMarginMs, r})
+		if r.open {
+			c.answerDeadlines.Set(&r.deadline, r.Due-returnMarginMs)
+		}
 		c.addEvent(whinrudder.Ended{ID: id(r.ID), Code: whinrudder.Error})
 		c.forgetIfDone(r)
 	}
@@ -685,12 +678,12 @@
 	if r == nil || !r.running {
 		return // a run of a previous process, or a repeated notice
 	}
-	r.running = false
+	r.running, r.maybeRan = false, f.End != RunMoot
 	c.addEvent(whinrudder.Ended{ID: id(r.ID), Code: endCodes[f.End], Latency: f.Latency})
 	c.keys.runEnded(r.ID, f.End == RunOK, f.Result, c.now, c.settings.Fresh, c.answerRepeat)
 	if awaitsEnd && r.open {
 		r.endPending = true
-		heap.Push(&c.answerDeadlines, dueItem[*request]{r.Due - returnMarginMs, r})
+		c.answerDeadlines.Set(&r.deadline, r.Due-returnMarginMs)
 	} else if f.End == RunOK {
 		c.answer(r, Answer{Outcome: Served, Result: f.Result})
 	} else {
@@ -754,8 +747,7 @@
 		}
 		c.timersAwaitingGauges = c.timersAwaitingGauges[:0]
 	}
-	for len(c.wakeups) > 0 && c.wakeups[0].at <= c.now {
-		token := heap.Pop(&c.wakeups).(dueItem[uint64]).value
+	for token, ok := c.wakeups.pop(c.now); ok; token, ok = c.wakeups.pop(c.now) {
 		if token == 0 || !c.linkSynced {
 			c.addEvent(whinrudder.Timer{Token: token, Gauges: noGauges})
 			continue
@@ -791,6 +783,7 @@
 // applyActions carries out the actions of one step of the module.
 func (c *Core) applyActions(actions []whinrudder.Action) {
 	c.actions = actions
+	defer func() { clear(c.actions) }()
 	for _, a := range actions {
 		switch a := a.(type) {
 		case whinrudder.Run:
@@ -841,7 +834,7 @@
 		case whinrudder.CloseIdle:
 			c.emit(SetIdleTimeout{a.After})
 		case whinrudder.Wake:
-			heap.Push(&c.wakeups, dueItem[uint64]{a.At, a.Token})
+			c.wakeups.add(a.At, a.Token)
 		case whinrudder.Log:
 			c.logEvent("module", "text", a.Text)
 		default:
@@ -856,8 +849,11 @@
 // failOverdue fails the requests that are past their answer deadline, so that none stays without an answer.
 func (c *Core) failOverdue() {
 	failAll := c.mustFailAll()
-	for len(c.answerDeadlines) > 0 && (failAll || c.now >= c.answerDeadlines[0].at) {
-		r := heap.Pop(&c.answerDeadlines).(dueItem[*request]).value
+	until := c.now
+	if failAll {
+		until = math.Inf(1)
+	}
+	for r, ok := c.answerDeadlines.Pop(until); ok; r, ok = c.answerDeadlines.Pop(until) {
 		switch {
 		case r.open && r.endPending:
 			c.logEvent("request", "id", r.ID, "code", "late-sync")
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"slices"
 	"testing"
 
@@ -88,7 +89,8 @@
 	if diff := cmp.Diff([]Outcome{Refused, Duplicate, Refused, Refused}, got); diff != "" {
 		t.Error(diff)
 	}
-	if n := len(c.recentIDs.ids) + len(c.recentIDs.seen); n != 4 {
+	h := c.recentIDs.neverRan
+	if n := len(h.ids) + len(h.seen) + c.recentIDs.ran.count(); n != 4 {
 		t.Errorf("got %d entries for ids, want 4 for two ids", n)
 	}
 }
@@ -116,8 +118,8 @@
 	}
 }
 
-// An answered request leaves the heap of answer deadlines at the next call of Next, and until then it stays there
-// without its body: a node that answers a thousand requests a second must not hold their bodies for seconds.
+// An answered request leaves the heap of answer deadlines at once, and it keeps neither its body nor its sink: a node that
+// answers a thousand requests a second must not hold their bodies and connections for seconds.
 func TestAnsweredRequestsReleaseTheirBody(t *testing.T) {
 	c, err := New(whinrudder.Settings{Cores: 1, Memory: 1e6, Halt: whinrudder.StopAbort, Rules: whinrudder.Rules{FallMultiple: 8},
 		Classes: []whinrudder.Class{{Aim: 1, Deadline: 9000, Repeat: whinrudder.Unsafe}}}, 1)
@@ -125,15 +127,107 @@
 		t.Fatal(err)
 	}
 	for n := range 3 { // there is no worker pool, so all are refused
-		c.Step(1000, []Input{RequestArrived{&Request{ID: fmt.Sprint(n), ArrivedAt: 1000, Due: 2000, Body: []byte("body"), ReplyTo: sink("a")}}})
+		r := &Request{ID: fmt.Sprint(n), ArrivedAt: 1000, Due: 2000, Body: []byte("body"), ReplyTo: sink("a")}
+		c.Step(1000, []Input{RequestArrived{r}})
+		if r.Body != nil || r.ReplyTo != nil {
+			t.Errorf("answered request %s still holds its body or its sink", r.ID)
+		}
+		if n := c.answerDeadlines.Len(); n != 0 {
+			t.Errorf("got %d queued requests, want 0", n)
+		}
+	}
+	if next := c.Next(); next != 0 {
+		t.Errorf("got next step at %v, want 0", next)
+	}
+}
+
+// Guards against memory that grows with the rate of requests (review/2): with a request open that is due first, requests
+// that are due later and are answered at once must leave nothing behind but their ids, up to a number.
+func TestAnsweredRequestsLeaveOnlyTheirIDs(t *testing.T) {
+	const flood = 100000
+	c, now := newSharingCore(t)
+	arrive := func(id string, wait float64) Input {
+		return RequestArrived{&Request{ID: id, ArrivedAt: now, Due: now + wait, KB: 1, ReplyTo: sink(id)}}
+	}
+	c.Step(now, []Input{arrive("first", 2000)})
+	before := liveBytes()
+	for i := range flood {
+		now += 0.005
+		var unknown []Input
+		for _, o := range c.Step(now, []Input{arrive(fmt.Sprintf("%016x", i), 3000)}) {
+			if s, ok := o.(Spawn); ok {
+				unknown = append(unknown, RunNotStarted{s.ID})
+			}
+		}
+		c.Step(now, unknown)
+	}
+	const idBytes = 160 // of an id in the history: the text, the entry and its share of the map
+	if grown := liveBytes() - before; grown > neverRanIDs*idBytes+(1<<20) {
+		t.Errorf("%d answered requests left %d kB, want at most %d", flood, grown>>10, (neverRanIDs*idBytes+(1<<20))>>10)
+	}
+	if c.Open() != 1 || c.answerDeadlines.Len() != 1 || len(c.requests) != 1 {
+		t.Errorf("got %d open requests, %d deadlines and %d entries, want 1 of each", c.Open(), c.answerDeadlines.Len(),
+			len(c.requests))
+	}
+	if n := len(c.wakeups.timers); n > 3100 {
+		t.Errorf("got %d timers, want at most one for each of 3000 ms and a few of the module's own", n)
+	}
+}
+
+// liveBytes returns the size of the live heap.
+func liveBytes() int {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int(m.HeapAlloc)
+}
+
+// Guards against a booking that runs twice because a flood of other ids displaced its id (review/2): ids whose request may
+// have run are remembered until their time is over, whatever number of requests that never ran come after them.
+func TestIDsThatRanOutliveAFlood(t *testing.T) {
+	c, now := newSharingCore(t)
+	arrive := func(id string) Input {
+		return RequestArrived{&Request{ID: id, ArrivedAt: now, Due: now + 2000, KB: 1, ReplyTo: sink(id)}}
+	}
+	c.Step(now, []Input{arrive("ran"), RunFinished{ID: "ran", End: RunOK}})
+	c.Step(now, []Input{RunFinished{ID: "ran", End: RunOK}})
+	for i := range 2 * neverRanIDs {
+		id := fmt.Sprint("unknown", i)
+		c.Step(now, []Input{arrive(id)})
+		c.Step(now, []Input{RunNotStarted{id}})
 	}
-	for _, d := range c.answerDeadlines {
-		if d.value.Body != nil {
-			t.Errorf("answered request %s still holds its body", d.value.ID)
+	out := c.Step(now+1, []Input{arrive("ran")})
+	if r, ok := out[len(out)-1].(Reply); !ok || r.Outcome != Duplicate {
+		t.Errorf("got %v for an id that ran, want a duplicate", out)
+	}
+	if n := c.recentIDs.neverRan.count(); n > neverRanIDs {
+		t.Errorf("got %d ids that never ran, want at most %d", n, neverRanIDs)
+	}
+}
+
+// Guards against a timer that fires early or is lost when timers share a slot: the module must be called at or after each
+// time that it asked for, within a slot.
+func TestTimersOfOneSlotFireAtItsEnd(t *testing.T) {
+	var w wakeups
+	w.setHorizon(3000)
+	for _, at := range []float64{10.2, 10.9, 11, 12.5} {
+		w.add(at, 0)
+	}
+	w.add(10.5, 1)
+	var got []float64
+	for at, ok := w.first(); ok; at, ok = w.first() {
+		token, due := w.pop(at)
+		if _, early := w.pop(at - 0.01); early || !due {
+			t.Fatalf("a timer fired early or not at all at %v", at)
 		}
+		got = append(got, at, float64(token))
+	}
+	if diff := cmp.Diff([]float64{10.5, 1, 11, 0, 13, 0}, got); diff != "" {
+		t.Error(diff)
 	}
-	if next := c.Next(); next != 0 || len(c.answerDeadlines) != 0 {
-		t.Errorf("got next step at %v and %d queued requests, want 0 and 0", next, len(c.answerDeadlines))
+	w.add(11, 0)
+	if at, ok := w.first(); !ok || at != 11 {
+		t.Errorf("got a first timer at %v, %t after the slot was used once, want 11", at, ok)
 	}
 }
 
--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -1,34 +1,5 @@
 package core
 
-// idHistory remembers the ids of ended requests, so that none is accepted twice while its caller may still wait.
-type idHistory struct {
-	retentionMs float64  // how long an id is remembered
-	ids         []pastID // in the order in which they ended
-	seen        map[string]bool
-}
-
-type pastID struct {
-	id      string
-	endedAt float64
-}
-
-const maxRememberedIDs = 16384 // ids remembered at a time; above that the oldest are forgotten early
-
-func (r *idHistory) has(id string) bool { return r.seen[id] }
-
-func (r *idHistory) add(id string, now float64) {
-	if r.seen == nil {
-		r.seen = map[string]bool{}
-	}
-	expired := 0
-	for expired < len(r.ids) && (r.ids[expired].endedAt < now-r.retentionMs || len(r.ids)-expired >= maxRememberedIDs) {
-		delete(r.seen, r.ids[expired].id)
-		expired++
-	}
-	r.ids = append(r.ids[expired:], pastID{id, now})
-	r.seen[id] = true
-}
-
 // keyEntry is one kept key: the request that holds it, its result once it has ended, and the requests that wait for it.
 type keyEntry struct {
 	id           string
--- a/internal/core/settings.go
+++ b/internal/core/settings.go
@@ -25,6 +25,7 @@
 	if r.Class < len(c.counters) {
 		c.counters[r.Class].Sends.Add(1)
 	}
+	r.maybeRan = true
 	c.emit(Spawn{r.ID, r.Class, r.Body})
 }
 
@@ -35,9 +36,8 @@
 	}
 	r.Settings.Classes = c.moduleClasses(r.Settings.Classes)
 	c.settings, c.counters = r.Settings, r.Counters
-	for _, k := range c.settings.Classes {
-		c.recentIDs.retentionMs = max(c.recentIDs.retentionMs, k.Deadline+maxClockAheadMs)
-	}
+	c.recentIDs.setLongestWait(longestWait(c.settings.Classes))
+	c.wakeups.setHorizon(longestWait(c.settings.Classes))
 	if c.policy == nil {
 		return
 	}
--- a/internal/core/share.go
+++ b/internal/core/share.go
@@ -1,10 +1,17 @@
 package core
 
-import "whinrudder"
+import (
+	"slices"
+
+	"whinrudder"
+)
+
+// maxUnsharedIDs bounds the ids that wait for the next query of the other process.
+const maxUnsharedIDs = 16384
 
 // handleQueryLoad reports the current load and the ids that another process of this node must not run: first all known
 // ids, then those that were read since the last query. A request belongs to the process that read it; the other process
-// only needs its id.
+// only needs its id. Ids of requests that ended without a run are left out: there may be any number of them.
 func (c *Core) handleQueryLoad(s QueryLoad) {
 	if s.Stop {
 		c.sharingIDs, c.unsharedIDs = false, nil
@@ -12,7 +19,7 @@
 	}
 	if !c.sharingIDs {
 		c.sharingIDs = true
-		for _, p := range c.recentIDs.ids {
+		for _, p := range c.recentIDs.ran.remembered() {
 			c.unsharedIDs = append(c.unsharedIDs, p.id)
 		}
 		for id := range c.requests {
@@ -23,7 +30,7 @@
 	if c.policy != nil {
 		load = c.policy.CurrentLoad()
 	}
-	ids := c.unsharedIDs
+	ids := slices.DeleteFunc(c.unsharedIDs, func(id string) bool { return c.requests[id] == nil && !c.recentIDs.ran.has(id) })
 	c.unsharedIDs = nil
 	s.Reply(load, ids)
 }
@@ -33,7 +40,7 @@
 func (c *Core) handleSiblingLoad(b SiblingLoad) {
 	for _, id := range b.IDs {
 		if !c.isKnown(id) {
-			c.recentIDs.add(id, c.now)
+			c.recentIDs.add(id, true, c.now)
 		}
 	}
 	if b.Beside != c.siblingLoad {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -138,7 +138,8 @@
 	if err != nil {
 		return FaultMessage(400, "bad-from")
 	}
-	r := &core.Request{ID: f.ID, Class: classIndex, Caller: int(caller), Key: f.Key, Body: body}
+	// The fields are parts of larger buffers, which must not be kept for as long as the request.
+	r := &core.Request{ID: strings.Clone(f.ID), Class: classIndex, Caller: int(caller), Body: body}
 	wait := 0.0
 	for _, field := range []struct {
 		text, code string
@@ -163,11 +164,12 @@
 	if len(f.Key) > maxKeyBytes {
 		return FaultMessage(400, "bad-key")
 	}
+	r.Key = strings.Clone(f.Key)
 	if f.Token != "" && config.KeptClasses[classIndex] != "" {
 		if !ValidToken(f.Token) {
 			return FaultMessage(400, "bad-token")
 		}
-		r.Token = f.Token
+		r.Token = strings.Clone(f.Token)
 	}
 	r.Due = r.ArrivedAt + wait
 	return Message{Request: r}
--- a/internal/httpfront/httpfront.go
+++ b/internal/httpfront/httpfront.go
@@ -60,6 +60,7 @@
 		m = p.validator.BuildMessage(p.class, p.fields, append([]byte{}, p.buf[:p.bodyLength]...))
 	}
 	m.Close = p.last
+	p.class, p.fields = "", front.Fields{} // they refer to the whole head
 	p.discard(p.bodyLength)
 	return m, true
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -278,6 +278,7 @@
 		if next := n.core.Next(); next > 0 {
 			wait = time.Duration((next - now()) * 1e6)
 		}
+		clear(batch) // lets the garbage collector free the inputs of the last step
 		batch = batch[:0]
 		if wait > 0 {
 			timer.Reset(wait)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -121,7 +121,9 @@
 	for _, c := range l.queue {
 		b = append(b, c.line...)
 	}
-	l.sent, l.queue = append(l.sent, l.queue...), l.queue[:0]
+	l.sent = append(l.sent, l.queue...)
+	clear(l.queue) // a command in sent must not be kept by queue as well
+	l.queue = l.queue[:0]
 	return b
 }
 
--- a/internal/uwsgi/uwsgi.go
+++ b/internal/uwsgi/uwsgi.go
@@ -62,7 +62,7 @@
 		m = p.validator.BuildMessage(class, v.fields, append([]byte{}, body[:v.bodyLength]...))
 	}
 	p.done, m.Close = true, true
-	p.buf = p.buf[:0]
+	p.buf = nil
 	return m, true
 }
 
