Bound all that grows with traffic by memory_mb

Before, hostile peers took a node of 32 MB to 36.6 MB with unfinished streams of h2c, 34.4 with answers that they did not read, and at still to 32.9 with bytes sent behind an open request. Cause: connections were bounded by sockets, streams by 128 for each connection, kept results and ids by numbers; none knew memory_mb. Buffers grew by a factor and were never given back. Change: package memory divides the limit among connections, streams, ids and kept results, less what kept operations set aside, and by half while two processes run. Connections are bounded by it; h2c connections and streams take what they may hold from a budget that they share, and a stream that finds none is refused (REFUSED_STREAM, code=memory).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -147,6 +147,9 @@
 		On   bool
 		Done func()
 	}
+	// ChangeLimits bounds what the core remembers: the ids of ended requests that may have run, and as many of others, and
+	// the size of the results that are kept to serve several requests.
+	ChangeLimits struct{ MaxIDs, ResultBytes int }
 	// ChangeSettings delivers new settings. Classes keep their indices; NewIndices lists those whose learned state is
 	// reset.
 	ChangeSettings struct {
@@ -173,6 +176,7 @@
 func (OperatorDrain) input()  {}
 func (QueryLoad) input()      {}
 func (SiblingLoad) input()    {}
+func (ChangeLimits) input()   {}
 func (ChangeSettings) input() {}
 
 // An Output is an action that the drivers must carry out immediately.
@@ -511,6 +515,9 @@
 		c.handleQueryLoad(i)
 	case SiblingLoad:
 		c.handleSiblingLoad(i)
+	case ChangeLimits:
+		c.recentIDs.setMaxIDs(i.MaxIDs)
+		c.keys.maxBytes = i.ResultBytes
 	case ChangeSettings:
 		c.changeSettings(i)
 	case YieldOps:
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -162,8 +162,8 @@
 		c.Step(now, unknown)
 	}
 	const idBytes = 160 // of an id in the history: the text, the entry and its share of the map
-	if grown := liveBytes() - before; grown > neverRanIDs*idBytes+(1<<20) {
-		t.Errorf("%d answered requests left %d kB, want at most %d", flood, grown>>10, (neverRanIDs*idBytes+(1<<20))>>10)
+	if grown := liveBytes() - before; grown > defaultMaxIDs*idBytes+(1<<20) {
+		t.Errorf("%d answered requests left %d kB, want at most %d", flood, grown>>10, (defaultMaxIDs*idBytes+(1<<20))>>10)
 	}
 	if c.Open() != 1 || c.answerDeadlines.Len() != 1 || len(c.requests) != 1 {
 		t.Errorf("got %d open requests, %d deadlines and %d entries, want 1 of each", c.Open(), c.answerDeadlines.Len(),
@@ -191,7 +191,7 @@
 	}
 	c.Step(now, []Input{arrive("ran"), RunFinished{ID: "ran", End: RunOK}})
 	c.Step(now, []Input{RunFinished{ID: "ran", End: RunOK}})
-	for i := range 2 * neverRanIDs {
+	for i := range 2 * defaultMaxIDs {
 		id := fmt.Sprint("unknown", i)
 		c.Step(now, []Input{arrive(id)})
 		c.Step(now, []Input{RunNotStarted{id}})
@@ -200,8 +200,8 @@
 	if r, ok := out[len(out)-1].(Reply); !ok || r.Outcome != Duplicate {
 		t.Errorf("got %v for an id that ran, want a duplicate", out)
 	}
-	if n := c.recentIDs.neverRan.count(); n > neverRanIDs {
-		t.Errorf("got %d ids that never ran, want at most %d", n, neverRanIDs)
+	if n := c.recentIDs.neverRan.count(); n > defaultMaxIDs {
+		t.Errorf("got %d ids that never ran, want at most %d", n, defaultMaxIDs)
 	}
 }
 
@@ -455,3 +455,38 @@
 		t.Error("ids are still collected after the sharing stopped")
 	}
 }
+
+// Guards against kept results that take the node over its memory limit: they stay within their bound, and what is left out
+// is only not shared. The list of requests that wait for one result is bounded by those that still wait.
+func TestKeptResultsStayWithinTheirBytes(t *testing.T) {
+	c, now := newSharingCore(t)
+	c.Step(now, []Input{ChangeLimits{MaxIDs: 1000, ResultBytes: 20000}})
+	arrive := func(id, key string) Input {
+		return RequestArrived{&Request{ID: id, Key: key, ArrivedAt: now, Due: now + 2000, KB: 1, ReplyTo: sink(id)}}
+	}
+	for i := range 100 {
+		id := fmt.Sprint("r", i)
+		c.Step(now, []Input{arrive(id, id)})
+		c.Step(now, []Input{RunFinished{ID: id, Result: make([]byte, 4096)}})
+		if sum := 0; c.keys.bytes > 20000 {
+			t.Fatalf("got %d bytes of results, want at most 20000", c.keys.bytes)
+		} else {
+			for _, e := range c.keys.byID {
+				sum += e.size()
+			}
+			if sum != c.keys.bytes || sum == 0 {
+				t.Fatalf("got %d bytes counted, want %d and more than 0", c.keys.bytes, sum)
+			}
+		}
+	}
+	now += 5000
+	c.Step(now, []Input{arrive("first", "k")})
+	for i := range 1000 {
+		id := fmt.Sprint("repeat", i)
+		c.Step(now, []Input{arrive(id, "k"), CallerGone{fmt.Sprint("repeat", i-2), sink(fmt.Sprint("repeat", i-2))}})
+	}
+	e := c.keys.byID["first"]
+	if e == nil || len(e.waiting) > minTrimWaiting || e.waitingCount > 2 {
+		t.Errorf("got %+v, want at most %d entries in the list of those that wait", e, minTrimWaiting)
+	}
+}
--- a/internal/core/history.go
+++ b/internal/core/history.go
@@ -8,15 +8,12 @@
 	neverRan idHistory
 }
 
-// Ids remembered at a time, unless Core.SetLimits says otherwise; above that the oldest are forgotten early.
-const (
-	defaultRanIDs = 16384
-	neverRanIDs   = 16384
-)
+// defaultMaxIDs is how many ids each history remembers, unless ChangeLimits says otherwise.
+const defaultMaxIDs = 16384
 
 // newEndedIDs returns an empty history of requests that wait for no longer than longestMs.
 func newEndedIDs(longestMs float64) endedIDs {
-	e := endedIDs{ran: newIDHistory(defaultRanIDs), neverRan: newIDHistory(neverRanIDs)}
+	e := endedIDs{ran: newIDHistory(defaultMaxIDs), neverRan: newIDHistory(defaultMaxIDs)}
 	e.setLongestWait(longestMs)
 	return e
 }
@@ -28,6 +25,9 @@
 	}
 }
 
+// setMaxIDs sets how many ids each history remembers.
+func (e *endedIDs) setMaxIDs(n int) { e.ran.maxIDs, e.neverRan.maxIDs = max(1, n), max(1, n) }
+
 func (e *endedIDs) has(id string) bool { return e.ran.has(id) || e.neverRan.has(id) }
 
 // add remembers the id of a request that ended now.
--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -1,5 +1,7 @@
 package core
 
+import "slices"
+
 // keyEntry is one kept key: the request that holds it, its result once it has ended, and the requests that wait for it.
 type keyEntry struct {
 	id           string
@@ -11,9 +13,14 @@
 	waitingCount int      // how many of them still wait
 }
 
+// size returns what the entry takes.
+func (e *keyEntry) size() int { return keyEntryBytes + len(e.key) + len(e.result) }
+
 // keyTable links reads of the same key: where an answer may serve several requests, a repeat refers to the kept one.
 type keyTable struct {
 	nextPurge   float64 // when old entries are next removed
+	bytes       int     // what the entries take
+	maxBytes    int     // bound of it; above that reads run separately
 	byKey       map[string]*keyEntry
 	byID        map[string]*keyEntry
 	repeatsByID map[string]keyRepeat // unfinished requests that repeat another, by their own id
@@ -26,12 +33,15 @@
 }
 
 const (
-	maxKeyEntries   = 1024 // entries kept at a time; above that reads run separately
+	maxKeyEntries   = 1024    // entries kept at a time; above that reads run separately
+	keyEntryBytes   = 512     // of an entry, without its key and its result
+	defaultMaxBytes = 4 << 20 // unless ChangeLimits says otherwise
 	purgeIntervalMs = 1000
+	minTrimWaiting  = 64 // length in requests from which a waiting list is searched for those that have ended
 )
 
 func newKeyTable() *keyTable {
-	return &keyTable{byKey: map[string]*keyEntry{}, byID: map[string]*keyEntry{}, repeatsByID: map[string]keyRepeat{}}
+	return &keyTable{maxBytes: defaultMaxBytes, byKey: map[string]*keyEntry{}, byID: map[string]*keyEntry{}, repeatsByID: map[string]keyRepeat{}}
 }
 
 func keyOf(req *Request) string { return string(rune('0'+req.Class)) + req.Key }
@@ -50,7 +60,7 @@
 func (t *keyTable) keep(req *Request, now, until float64) {
 	k := keyOf(req)
 	if old := t.byKey[k]; old != nil && old.id != req.ID {
-		delete(t.byID, old.id)
+		t.remove(old.id)
 	}
 	if now >= t.nextPurge {
 		t.nextPurge = now + purgeIntervalMs
@@ -58,10 +68,11 @@
 	}
 	e := t.byID[req.ID]
 	if e == nil {
-		if len(t.byID) >= maxKeyEntries {
+		if len(t.byID) >= maxKeyEntries || t.bytes+keyEntryBytes+len(k) > t.maxBytes {
 			return
 		}
 		e = &keyEntry{id: req.ID, key: k}
+		t.bytes += e.size()
 	}
 	e.until = until
 	t.byKey[k], t.byID[req.ID] = e, e
@@ -81,6 +92,7 @@
 	e := t.byID[id]
 	if e != nil {
 		delete(t.byID, id)
+		t.bytes -= e.size()
 		if t.byKey[e.key] == e {
 			delete(t.byKey, e.key)
 		}
@@ -127,12 +139,21 @@
 		delete(t.repeatsByID, id)
 		serve(id, r.result != nil, r.result)
 	default:
+		t.trimWaiting(r.keyEntry)
 		r.waitingCount++
 		r.waiting = append(r.waiting, id)
 		t.repeatsByID[id] = keyRepeat{r.keyEntry, true}
 	}
 }
 
+// trimWaiting removes the requests that have ended from a waiting list, so that it stays within twice the number of those
+// that still wait.
+func (t *keyTable) trimWaiting(e *keyEntry) {
+	if len(e.waiting) >= max(minTrimWaiting, 2*e.waitingCount) {
+		e.waiting = slices.DeleteFunc(e.waiting, func(id string) bool { return t.repeatsByID[id] != keyRepeat{e, true} })
+	}
+}
+
 // runEnded records the end of a run and serves the requests that wait for it.
 func (t *keyTable) runEnded(id string, ok bool, result []byte, now, fresh float64,
 	serve func(id string, ok bool, result []byte)) {
@@ -141,10 +162,15 @@
 		return
 	}
 	e.ended, e.until = true, now+fresh
-	if ok {
-		e.result = append([]byte{}, result...)
-	} else {
+	if !ok {
 		t.remove(id) // a failure is not reused later
+		t.serveWaiting(e, serve)
+		return
 	}
+	e.result = append([]byte{}, result...)
+	t.bytes += len(result)
 	t.serveWaiting(e, serve)
+	if t.bytes > t.maxBytes {
+		t.remove(id) // later reads run separately
+	}
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -14,8 +14,11 @@
 	"whinrudder/internal/core"
 )
 
-// MaxBodyBytes is the size limit of a request body.
-const MaxBodyBytes = 2 << 10
+// Size limits of a request. The head is the request line and the header fields together, or their counterparts.
+const (
+	MaxHeadBytes = 8 << 10
+	MaxBodyBytes = 2 << 10
+)
 
 // Fault describes a malformed or unsupported request. The front rejects it and does not pass it to the core.
 type Fault struct {
--- a/internal/front/protocol.go
+++ b/internal/front/protocol.go
@@ -27,6 +27,8 @@
 	CloseReason() (code string, linger bool)
 	// PeerCloseReason returns the code for the log when the peer closed (eof) or reset the connection.
 	PeerCloseReason(eof bool) string
+	// Release gives up what the connection holds of budgets that it shares with others. It is called once, at the end.
+	Release()
 	// Served returns the number of answers other than faults, and the time of the last one, or of the accept if there
 	// is none.
 	Served() (n int, at float64)
@@ -48,8 +50,11 @@
 	messageTimeoutMs      = 2000 // from the first to the last byte of a later message
 )
 
-// maxPipelinedBytes bounds what a peer may send while its request is in progress.
-const maxPipelinedBytes = 16 << 10
+// headEndBytes is the size of the empty line after a head.
+const headEndBytes = 4
+
+// maxPipelinedBytes bounds what a peer may send while its request is in progress: one more request.
+const maxPipelinedBytes = MaxHeadBytes + headEndBytes + MaxBodyBytes
 
 // SerialConn is the protocol of a connection that carries one message at a time, read by a Parser.
 type SerialConn struct {
@@ -132,10 +137,13 @@
 // AppendOutput implements Protocol.
 func (s *SerialConn) AppendOutput(_ float64, b []byte) []byte {
 	b = append(b, s.out...)
-	s.out = s.out[:0]
+	s.out = nil
 	return b
 }
 
+// Release implements Protocol. It does nothing.
+func (s *SerialConn) Release() {}
+
 // StartDrain implements Protocol. It does nothing: the peer learns from an answer that the node drains.
 func (s *SerialConn) StartDrain(float64) {}
 
--- a/internal/h2/conn.go
+++ b/internal/h2/conn.go
@@ -8,6 +8,7 @@
 
 	"whinrudder/internal/core"
 	"whinrudder/internal/front"
+	"whinrudder/internal/memory"
 )
 
 // Limits of a connection.
@@ -35,7 +36,7 @@
 // stream is one request and its answer.
 type stream struct {
 	id              uint32
-	req             *request
+	req             *request // nil once the request is complete
 	body            []byte
 	received        int64   // bytes of DATA so far, without padding
 	requestComplete bool    // the peer has ended its side of the stream
@@ -50,13 +51,15 @@
 	headersSent     bool   // the HEADERS frame of the answer was sent
 	unsent          []byte // remainder of the result
 	blocked         bool   // waits for a window update
+	reserved        int64  // bytes taken of the shared budget
 }
 
 // Conn is the state machine of one connection. It implements front.Protocol. Create it with New.
 type Conn struct {
 	validator *front.Validator
-	now       float64 // latest time passed in, Unix ms
-	in        []byte  // received bytes of an incomplete frame
+	budget    *memory.Budget    // shared with other connections; nil: without a bound
+	now       float64           // latest time passed in, Unix ms
+	in        front.InputBuffer // received bytes of an incomplete frame
 
 	acceptedAt   float64
 	prefaceRead  bool
@@ -153,6 +156,7 @@
 			c.cancel(id)
 		}
 		s.answer, s.unsent, s.body = nil, nil, nil
+		c.releaseStream(s)
 		c.servedAt = c.now // start of the idle time if no stream is left
 	}
 	if _, ok := c.closed[id]; !ok {
@@ -191,11 +195,11 @@
 	if c.closeCode != "" {
 		return
 	}
-	c.in = append(c.in, b...)
-	offset := 0
+	c.in.Append(b)
+	in, offset := c.in.Bytes(), 0
 	if !c.prefaceRead {
-		n := min(len(c.in), len(preface))
-		if string(c.in[:n]) != preface[:n] {
+		n := min(len(in), len(preface))
+		if string(in[:n]) != preface[:n] {
 			c.fail(ProtocolError, "bad-preface")
 			return
 		}
@@ -204,19 +208,19 @@
 		}
 		c.prefaceRead, offset = true, n
 	}
-	for c.closeCode == "" && len(c.in)-offset >= frameHeaderBytes {
-		h := parseFrameHeader(c.in[offset:])
+	for c.closeCode == "" && len(in)-offset >= frameHeaderBytes {
+		h := parseFrameHeader(in[offset:])
 		if h.length > minFrameBytes {
 			c.fail(FrameSizeError, "long-frame") // RFC 9113, 4.2
 			break
 		}
-		if len(c.in)-offset < frameHeaderBytes+h.length {
+		if len(in)-offset < frameHeaderBytes+h.length {
 			break
 		}
-		c.handleFrame(h, c.in[offset+frameHeaderBytes:offset+frameHeaderBytes+h.length])
+		c.handleFrame(h, in[offset+frameHeaderBytes:offset+frameHeaderBytes+h.length])
 		offset += frameHeaderBytes + h.length
 	}
-	c.in = c.in[:copy(c.in, c.in[offset:])]
+	c.in.Discard(offset)
 }
 
 // handleFrame processes one frame.
--- a/internal/h2/h2_test.go
+++ b/internal/h2/h2_test.go
@@ -388,8 +388,8 @@
 			c.HandleDeadline(c.NextDeadline(100), 100)
 			c.StartDrain(5000)
 			c.AppendOutput(5000, nil)
-			if len(c.streams) > MaxStreams || len(c.in) > minFrameBytes+frameHeaderBytes+4096 || len(c.closedIDs) > maxClosedStreams {
-				t.Fatalf("limits exceeded: %d streams, %d buffered bytes, %d remembered closed streams", len(c.streams), len(c.in), len(c.closedIDs))
+			if len(c.streams) > MaxStreams || c.in.Len() > minFrameBytes+frameHeaderBytes+4096 || len(c.closedIDs) > maxClosedStreams {
+				t.Fatalf("limits exceeded: %d streams, %d buffered bytes, %d remembered closed streams", len(c.streams), c.in.Len(), len(c.closedIDs))
 			}
 			code, _ := c.CloseReason()
 			codes[code] = true
--- a/internal/h2/header.go
+++ b/internal/h2/header.go
@@ -45,6 +45,14 @@
 
 func newRequest() *request { return &request{pseudo: map[string]bool{}, contentLength: -1} }
 
+// keptBytes returns the size of the values that are kept until the request is complete. Their sum is bounded by the limit
+// of a field list, as the values of other fields are dropped.
+func (r *request) keptBytes() int {
+	f := &r.fields
+	return len(r.method) + len(r.scheme) + len(r.path) + len(f.ID) + len(f.Time) + len(f.From) + len(f.Wait) + len(f.KB) +
+		len(f.Rank) + len(f.Key) + len(f.Token)
+}
+
 // markMalformed marks the request as malformed and keeps the first reason.
 func (r *request) markMalformed(reason string) {
 	if r.malformed == "" {
--- a/internal/h2/stream.go
+++ b/internal/h2/stream.go
@@ -154,9 +154,15 @@
 		}
 		return
 	}
-	c.acceptedID = b.stream
 	r.checkPseudoFields()
 	s = &stream{id: b.stream, req: r, openedAt: c.now, receiveWindow: streamWindowBytes, sendWindow: c.peerInitialWindow}
+	if !c.reserve(s, b.endStream) {
+		// It does not count against the budget of refusals: other connections may hold the memory.
+		c.resetStream(b.stream, RefusedStream)
+		c.events = append(c.events, front.Event{Tag: b.stream, Code: "memory"})
+		return
+	}
+	c.acceptedID = b.stream
 	c.streams[s.id] = s
 	c.incomplete++
 	if r.malformed != "" || b.selfDependent {
@@ -195,7 +201,8 @@
 	s.requestComplete = true
 	c.incomplete--
 	m := s.req.buildMessage(c.validator, s.body)
-	s.body = nil
+	s.req, s.body = nil, nil
+	c.shrinkReservation(s, m)
 	if m.Request == nil && !c.admitSmall() {
 		if c.spend(&c.refusals) {
 			c.resetStream(s.id, RefusedStream)
--- a/internal/h2/write.go
+++ b/internal/h2/write.go
@@ -254,7 +254,7 @@
 	case c.closeCode != "":
 		return
 	case !c.settingsRead && c.now >= c.acceptedAt+handshakeTimeoutMs:
-		if len(c.in) == 0 && !c.prefaceRead {
+		if c.in.Len() == 0 && !c.prefaceRead {
 			c.closeCode = "silent"
 		} else {
 			c.fail(ProtocolError, "slow")
@@ -293,7 +293,7 @@
 		}
 	}
 	switch {
-	case eof && len(c.in) == 0 && c.block == nil && c.incomplete == 0:
+	case eof && c.in.Len() == 0 && c.block == nil && c.incomplete == 0:
 		return "eof"
 	case eof:
 		return "part"
--- a/internal/httpfront/httpfront.go
+++ b/internal/httpfront/httpfront.go
@@ -10,13 +10,10 @@
 	"whinrudder/internal/front"
 )
 
-// maxHeadBytes bounds the request line and the header fields together.
-const maxHeadBytes = 8 << 10
-
 // Parser is the front.Parser of one connection.
 type Parser struct {
 	validator *front.Validator
-	buf       []byte // bytes fed and not yet parsed
+	in        front.InputBuffer
 
 	headParsed bool          // the head of a message is parsed and its body comes next
 	bodyLength int           // Content-Length; 0 without one
@@ -30,44 +27,41 @@
 func New(v *front.Validator) *Parser { return &Parser{validator: v} }
 
 // Feed appends received bytes to the buffer.
-func (p *Parser) Feed(b []byte) { p.buf = append(p.buf, b...) }
+func (p *Parser) Feed(b []byte) { p.in.Append(b) }
 
 // Buffered returns the number of bytes fed and not yet parsed.
-func (p *Parser) Buffered() int { return len(p.buf) }
+func (p *Parser) Buffered() int { return p.in.Len() }
 
 // Next returns the next message, or false until all its bytes have been fed.
 func (p *Parser) Next() (front.Message, bool) {
 	if !p.headParsed {
-		end := bytes.Index(p.buf, []byte("\r\n\r\n"))
-		if end > maxHeadBytes || end < 0 && len(p.buf) > maxHeadBytes {
+		end := bytes.Index(p.in.Bytes(), []byte("\r\n\r\n"))
+		if end > front.MaxHeadBytes || end < 0 && p.in.Len() > front.MaxHeadBytes {
 			return front.FaultMessage(431, "long-head"), true
 		}
 		if end < 0 {
 			return front.Message{}, false
 		}
-		if f := p.readHead(string(p.buf[:end])); f != nil {
+		if f := p.readHead(string(p.in.Bytes()[:end])); f != nil {
 			return front.Message{Fault: f}, true
 		}
 		p.headParsed = true
-		p.discard(end + 4)
+		p.in.Discard(end + 4)
 	}
-	if len(p.buf) < p.bodyLength {
+	if p.in.Len() < p.bodyLength {
 		return front.Message{}, false
 	}
 	p.headParsed = false
 	m := p.check
 	if p.class != "" {
-		m = p.validator.BuildMessage(p.class, p.fields, append([]byte{}, p.buf[:p.bodyLength]...))
+		m = p.validator.BuildMessage(p.class, p.fields, append([]byte{}, p.in.Bytes()[:p.bodyLength]...))
 	}
 	m.Close = p.last
 	p.class, p.fields = "", front.Fields{} // they refer to the whole head
-	p.discard(p.bodyLength)
+	p.in.Discard(p.bodyLength)
 	return m, true
 }
 
-// discard removes the first n bytes of the buffer.
-func (p *Parser) discard(n int) { p.buf = p.buf[:copy(p.buf, p.buf[n:])] }
-
 // readHead parses the request line and the header fields.
 func (p *Parser) readHead(head string) *front.Fault {
 	line, rest, _ := strings.Cut(head, "\r\n")
--- a/internal/lab/memory.go
+++ b/internal/lab/memory.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/base64"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -136,6 +137,9 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 	wait.Wait()
+	if memoryMB(n.pid, "RssAnon") == 0 {
+		return r, errors.New("lab: the node has ended")
+	}
 	return r, nil
 }
 
@@ -147,8 +151,13 @@
 	}
 }
 
-// calmAnswerTimeout is how long a calm caller waits for an answer: longer than its request says.
-const calmAnswerTimeout = 7 * time.Second
+const (
+	// calmAnswerTimeout is how long a calm caller waits for an answer: longer than its request says.
+	calmAnswerTimeout = 7 * time.Second
+	// crossingTime is how long a request may be on its way to a resting connection that the node closes meanwhile. The
+	// platform has such a request sent again.
+	crossingTime = 50 * time.Millisecond
+)
 
 // callCalmly sends requests that the worker pool runs, one after another, and counts their answers.
 func callCalmly(addr string, end time.Time, r *MemoryRun) {
@@ -159,13 +168,14 @@
 			continue
 		}
 		in := bufio.NewReader(c)
-		for last := false; !last && time.Now().Before(end); {
+		for n := 0; time.Now().Before(end); n++ {
 			c.SetDeadline(time.Now().Add(calmAnswerTimeout))
-			atomic.AddInt64(&r.Calm, 1)
-			if _, err := c.Write(encodeRequest("http", "calm")); err != nil {
-				atomic.AddInt64(&r.Lost, 1)
+			started := time.Now()
+			c.Write(encodeRequest("http", "calm")) // the read finds an error as well
+			if _, err := in.Peek(1); err != nil && n > 0 && time.Since(started) < crossingTime {
 				break
 			}
+			atomic.AddInt64(&r.Calm, 1)
 			resp, err := http.ReadResponse(in, nil)
 			if err != nil {
 				atomic.AddInt64(&r.Lost, 1)
@@ -173,9 +183,12 @@
 			}
 			io.Copy(io.Discard, resp.Body)
 			resp.Body.Close()
-			if last = resp.Close; resp.StatusCode == 200 {
+			if resp.StatusCode == 200 {
 				atomic.AddInt64(&r.Served, 1)
 			}
+			if resp.Close {
+				break
+			}
 			time.Sleep(20 * time.Millisecond)
 		}
 		c.Close()
--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -10,6 +10,7 @@
 
 	"whinrudder/internal/core"
 	"whinrudder/internal/front"
+	"whinrudder/internal/memory"
 )
 
 // When the connection table is full, a new connection may replace one that has sent no request for newConnGraceMs
@@ -29,7 +30,7 @@
 
 // accept takes connections until the listener is closed. Other errors, such as running out of file descriptors,
 // are logged and retried.
-func (n *Node) accept(l net.Listener, name string, protocol func(now float64) front.Protocol) {
+func (n *Node) accept(l net.Listener, name string, protocol func(now float64) front.Protocol, sharedBytes int64) {
 	for {
 		c, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -43,7 +44,7 @@
 			time.Sleep(time.Until(timeOf(now() + 20)))
 			continue
 		}
-		k := &conn{node: n, c: c, front: name, proto: protocol(now())}
+		k := &conn{node: n, c: c, front: name, proto: protocol(now()), sharedBytes: sharedBytes}
 		if !n.conns.add(k) {
 			k.logAndClose("full")
 			continue
@@ -74,7 +75,8 @@
 	unsentAnswers int     // answers that were possibly not written
 	writeDeadline float64 // of the output, in Unix milliseconds; 0: defaultWriteTimeoutMs from now
 
-	state connState // guarded by connTable.mu
+	sharedBytes int64     // what it takes of the shared memory budget, besides what its protocol takes
+	state       connState // guarded by connTable.mu
 }
 
 // delivery is an answer in the mailbox.
@@ -95,6 +97,9 @@
 	tag uint32
 }
 
+// restingOutputBytes is the largest buffer for output that a connection without messages in progress keeps.
+const restingOutputBytes = 1 << 10
+
 // defaultWriteTimeoutMs is how long a peer may take to read output that contains no answer.
 const defaultWriteTimeoutMs = 1000
 
@@ -197,6 +202,7 @@
 		}
 	}
 	k.logAndClose(code)
+	k.proto.Release()
 	k.node.conns.remove(k) // after the log line, because shutdown waits for the removal
 }
 
@@ -323,6 +329,9 @@
 	if err == nil {
 		k.unsentAnswers = 0
 	}
+	if cap(k.output) > restingOutputBytes && len(k.pending) == 0 {
+		k.output = nil
+	}
 	return err
 }
 
@@ -334,16 +343,17 @@
 	since    float64 // time of the last answer, or else of the accept, in Unix milliseconds
 }
 
-// connTable holds the connections of callers, up to a limit.
+// connTable holds the connections of callers, up to a number and to a memory budget.
 type connTable struct {
-	mu       sync.Mutex // guards all fields and the state of each conn
+	budget   *memory.Budget // shared with the protocols of the connections
+	mu       sync.Mutex     // guards the fields below and the state of each conn
 	maxConns int
 	conns    map[*conn]bool
 	removed  sync.Cond // broadcast when a connection is removed
 }
 
-// add adds a new connection. If the table is full, it evicts an idle connection and waits until that has ended.
-// It returns false if every connection is busy or too recent to evict.
+// add adds a new connection. If there is no room, it evicts an idle connection and waits until that has ended. It returns
+// false if every connection whose end would make room is busy or too recent to evict.
 func (t *connTable) add(k *conn) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -351,8 +361,8 @@
 		t.conns, t.removed.L = map[*conn]bool{}, &t.mu
 	}
 	k.state.since = now()
-	for len(t.conns) >= t.maxConns {
-		victim := t.evictionCandidate(k.state.since)
+	for len(t.conns) >= t.maxConns || !t.budget.Reserve(k.sharedBytes) {
+		victim := t.evictionCandidate(k.state.since, len(t.conns) < t.maxConns)
 		if victim == nil {
 			return false
 		}
@@ -365,11 +375,12 @@
 }
 
 // evictionCandidate returns, of the connections without an answer, the one that was accepted first, or else the
-// one whose last answer is the oldest, or nil.
-func (t *connTable) evictionCandidate(now float64) (found *conn) {
+// one whose last answer is the oldest, or nil. With forBudget only those count that hold a part of the budget.
+func (t *connTable) evictionCandidate(now float64, forBudget bool) (found *conn) {
 	for k := range t.conns {
 		s := k.state
 		switch {
+		case forBudget && k.sharedBytes == 0:
 		case s.busy || s.revoked, !s.answered && now-s.since < newConnGraceMs,
 			s.answered && now-s.since < idleConnGraceMs:
 		case found == nil || !s.answered && found.state.answered,
@@ -415,6 +426,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.conns, k)
+	t.budget.Release(k.sharedBytes)
 	t.removed.Broadcast()
 }
 
--- a/internal/node/conn_test.go
+++ b/internal/node/conn_test.go
@@ -142,7 +142,7 @@
 	here, there := net.Pipe()
 	there.Close()
 	n.accept(&fakeListener{[]any{errors.New("too many open files"), here, net.ErrClosed}}, "http",
-		serialProtocol(func() front.Parser { return httpfront.New(n.validator) }))
+		serialProtocol(func() front.Parser { return httpfront.New(n.validator) }), 0)
 	<-log // the line of the error
 	if diff := cmp.Diff("eof served=0", <-log); diff != "" {
 		t.Error(diff)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 	"whinrudder/internal/h2"
 	"whinrudder/internal/httpfront"
 	"whinrudder/internal/kept"
+	"whinrudder/internal/memory"
 	"whinrudder/internal/pool"
 	"whinrudder/internal/settings"
 	"whinrudder/internal/storage"
@@ -118,7 +119,8 @@
 	n.validator.SetConfig(n.validatorConfig(n.view, kept))
 	c.SetCounters(n.counters.Classes(n.view.Names))
 	n.appliedConfig = cfg
-	n.conns.maxConns = n.maxConns(cfg, false)
+	plan := n.memoryPlan(cfg, false)
+	n.conns.maxConns, n.conns.budget = n.maxConns(cfg, plan, false), memory.NewBudget(plan.SharedBytes)
 	n.idleTimeoutMs.Store(int64(cfg.Settings.Policy.KeepAlive))
 	n.accepting.Store(true)
 	n.stopMs = cfg.StopMs
@@ -127,9 +129,19 @@
 	return n, nil
 }
 
-// maxConns returns how many connections of callers may be open. While another process of the node is running
-// (sharing), the two share the limit of sockets.
-func (n *Node) maxConns(cfg settings.Config, sharing bool) int {
+// memoryPlan returns the bounds that follow from the memory limit. While another process of the node is running
+// (sharing), the two share it.
+func (n *Node) memoryPlan(cfg settings.Config, sharing bool) memory.Plan {
+	limit, reserved := int64(cfg.MemoryMB)<<20, n.op.Kept.MemoryBytes()
+	if sharing {
+		limit, reserved = limit/2, reserved/2
+	}
+	return memory.NewPlan(limit, reserved)
+}
+
+// maxConns returns how many connections of callers may be open, by the limit of sockets and by the memory. While another
+// process of the node is running (sharing), the two share the limit of sockets.
+func (n *Node) maxConns(cfg settings.Config, plan memory.Plan, sharing bool) int {
 	limit := cfg.Sockets
 	if sharing {
 		limit /= 2
@@ -137,7 +149,7 @@
 	if n.cfg.Admin != "" {
 		limit -= admin.MaxConns
 	}
-	return max(limit-reservedSockets, cfg.Sockets/minConnsDivisor)
+	return min(max(limit-reservedSockets, cfg.Sockets/minConnsDivisor), plan.MaxConns)
 }
 
 func (n *Node) log(word string, pairs ...any) { n.logger.event(word, pairs...) }
@@ -177,10 +189,12 @@
 	fronts := []struct {
 		name, addr string
 		protocol   func(now float64) front.Protocol
+
+		sharedBytes int64 // what a connection takes of the shared memory budget
 	}{
-		{"http", n.cfg.Listen, serialProtocol(func() front.Parser { return httpfront.New(n.validator) })},
-		{"h2c", n.op.H2C, func(now float64) front.Protocol { return h2.New(n.validator, now) }},
-		{"uwsgi", n.op.UWSGI, serialProtocol(func() front.Parser { return uwsgi.New(n.validator) })},
+		{"http", n.cfg.Listen, serialProtocol(func() front.Parser { return httpfront.New(n.validator) }), 0},
+		{"h2c", n.op.H2C, n.newH2Protocol, h2.ConnBytes},
+		{"uwsgi", n.op.UWSGI, serialProtocol(func() front.Parser { return uwsgi.New(n.validator) }), 0},
 	}
 	for _, f := range fronts {
 		if f.addr == "" {
@@ -193,7 +207,7 @@
 		n.listeners = append(n.listeners, l)
 		n.addrs[f.name] = l.Addr().String()
 		n.log("serve", "name", n.cfg.Name, "front", f.name, "listen", l.Addr(), "pool", n.cfg.Pool)
-		n.acceptStarts = append(n.acceptStarts, func() { go n.accept(l, f.name, f.protocol) })
+		n.acceptStarts = append(n.acceptStarts, func() { go n.accept(l, f.name, f.protocol, f.sharedBytes) })
 	}
 	if n.handoff == nil {
 		n.startAccepting()
@@ -217,6 +231,13 @@
 	return func(now float64) front.Protocol { return front.NewSerialConn(parser(), now) }
 }
 
+// newH2Protocol returns the protocol of an h2c connection.
+func (n *Node) newH2Protocol(now float64) front.Protocol {
+	c := h2.New(n.validator, now)
+	c.SetBudget(n.conns.budget)
+	return c
+}
+
 // Addr returns the listen address of a front (http, uwsgi, h2c) or of the admin port (admin).
 func (n *Node) Addr(front string) string { return n.addrs[front] }
 
--- a/internal/node/upgrade.go
+++ b/internal/node/upgrade.go
@@ -142,7 +142,10 @@
 	n.mu.Lock()
 	cfg, sharing := n.appliedConfig, n.sharing
 	n.mu.Unlock()
-	n.conns.setLimit(n.maxConns(cfg, sharing))
+	plan := n.memoryPlan(cfg, sharing)
+	n.conns.setLimit(n.maxConns(cfg, plan, sharing))
+	n.conns.budget.SetLimit(plan.SharedBytes)
+	n.submit(core.ChangeLimits{MaxIDs: plan.MaxIDs, ResultBytes: plan.ResultBytes})
 	setProcessLimits(cfg, n.op, sharing)
 }
 
--- a/internal/settings/kept.go
+++ b/internal/settings/kept.go
@@ -82,6 +82,14 @@
 // operationBytes is the memory that one kept operation takes, with its key and its entries in the tables.
 const operationBytes = 400
 
+// MemoryBytes returns the memory that the operations take at most, 0 if no results are kept.
+func (k KeptConfig) MemoryBytes() int64 {
+	if !k.Enabled() {
+		return 0
+	}
+	return int64(k.MaxOperations) * operationBytes
+}
+
 // KeptClassNames returns the names of the classes whose results are kept, by class number, or an error if the section
 // kept does not match the configuration c. Only classes with repeat "once" may be listed: requests of the others may
 // simply run again. The table of operations may take at most half of the node's memory.
@@ -96,7 +104,7 @@
 		}
 		names[i] = n
 	}
-	if mb := float64(o.Kept.MaxOperations) * operationBytes / (1 << 20); mb > float64(c.MemoryMB)/2 {
+	if mb := float64(o.Kept.MemoryBytes()) / (1 << 20); mb > float64(c.MemoryMB)/2 {
 		return nil, fmt.Errorf("operator: kept.keys is %d, which takes %.0f MB of the node's %d, want half at most",
 			o.Kept.MaxOperations, mb, c.MemoryMB)
 	}
--- a/internal/uwsgi/uwsgi.go
+++ b/internal/uwsgi/uwsgi.go
@@ -11,46 +11,45 @@
 	"whinrudder/internal/front"
 )
 
-const (
-	headerBytes  = 4       // modifier1, size of the variables (uint16, little-endian), modifier2
-	maxVarsBytes = 8 << 10 // the limit of the HTTP front for the request line and header fields
-)
+// headerBytes is the size of modifier1, the size of the variables (uint16, little-endian) and modifier2.
+const headerBytes = 4
 
 // Parser is the front.Parser of one connection.
 type Parser struct {
 	validator *front.Validator
-	buf       []byte // bytes fed and not yet parsed
-	done      bool   // the only message of the connection was returned
+	in        front.InputBuffer
+	done      bool // the only message of the connection was returned
 }
 
 // New returns the parser of a new connection.
 func New(v *front.Validator) *Parser { return &Parser{validator: v} }
 
 // Feed appends received bytes to the buffer.
-func (p *Parser) Feed(b []byte) { p.buf = append(p.buf, b...) }
+func (p *Parser) Feed(b []byte) { p.in.Append(b) }
 
 // Buffered returns the number of bytes fed and not yet parsed.
-func (p *Parser) Buffered() int { return len(p.buf) }
+func (p *Parser) Buffered() int { return p.in.Len() }
 
 // Next returns the message, or false until all its bytes have been fed.
 func (p *Parser) Next() (front.Message, bool) {
-	if p.done || len(p.buf) < headerBytes {
+	buf := p.in.Bytes()
+	if p.done || len(buf) < headerBytes {
 		return front.Message{}, false
 	}
-	size := int(binary.LittleEndian.Uint16(p.buf[1:]))
+	size := int(binary.LittleEndian.Uint16(buf[1:]))
 	switch {
-	case p.buf[0] != 0 || p.buf[3] != 0:
+	case buf[0] != 0 || buf[3] != 0:
 		return front.FaultMessage(501, "bad-modifier"), true // only plain HTTP requests are supported
-	case size > maxVarsBytes:
+	case size > front.MaxHeadBytes:
 		return front.FaultMessage(431, "long-head"), true
-	case len(p.buf) < headerBytes+size:
+	case len(buf) < headerBytes+size:
 		return front.Message{}, false
 	}
-	v, f := readVars(p.buf[headerBytes : headerBytes+size])
+	v, f := readVars(buf[headerBytes : headerBytes+size])
 	if f != nil {
 		return front.Message{Fault: f}, true
 	}
-	body := p.buf[headerBytes+size:]
+	body := buf[headerBytes+size:]
 	if len(body) < v.bodyLength {
 		return front.Message{}, false
 	}
@@ -62,7 +61,7 @@
 		m = p.validator.BuildMessage(class, v.fields, append([]byte{}, body[:v.bodyLength]...))
 	}
 	p.done, m.Close = true, true
-	p.buf = nil
+	p.in.Discard(p.in.Len())
 	return m, true
 }
 
--- a/policy.go
+++ b/policy.go
@@ -60,6 +60,8 @@
 	drainOpenRatio = 0.9
 	// Number of callers that are tracked one by one.
 	maxTrackedCallers = 4096
+	// Number of reads whose answers are kept at a time for reads of the same key.
+	maxKeptReads = 4096
 	// A caller that was heard from within this time takes part in the split of the credit.
 	activeCallerMs = 2000
 	// Hosts do not close connections that were idle for less than this.
@@ -596,7 +598,7 @@
 		return
 	}
 	// The answer to a read can serve other reads of the same key if there is memory for its entry.
-	keepRead := class.Repeat == Safe && p.cfg.Fresh > 0 && r.Key != "" &&
+	keepRead := class.Repeat == Safe && p.cfg.Fresh > 0 && r.Key != "" && p.keyHeap.Len() < maxKeptReads &&
 		p.usedMemory()+neededKB+p.cfg.EntryKB <= usableMemoryRatio*p.cfg.Memory
 	if class.Repeat == Keyed || keepRead {
 		p.keepKey(r)
