Let a drain by call hold for both processes of an upgrade

Cause: each process kept the order to itself; it passed once, in the welcome, and the new process may serve seconds later. Evidence: with the call before the new process is started nothing is lost. Change: the order is state of the node with a revision, kept by the core; the later one holds, and of two of the same revision the drain. Both processes report it in every load frame, and a call is answered once the report is written to the other one. Why it works: there is no moment from the welcome on in which an order is known to one side only and not on its way. The registration in ZooKeeper can't miss an order that comes while it is made. TestDrainOrdersReachTheOtherProcess also ends the process right after the call.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -142,10 +142,11 @@
 		whinrudder.Beside
 		IDs []string
 	}
-	// OperatorDrain reports that an operator turned the drain of clients on or off. Done must not block.
+	// OperatorDrain turns the drain of clients on or off: by an operator's order to this process (Revision 0), or as another
+	// process of this node reports it. Done, if not nil, gets the state that holds from now on; it must not block.
 	OperatorDrain struct {
-		On   bool
-		Done func()
+		DrainState
+		Done func(DrainState)
 	}
 	// ChangeLimits bounds what the core remembers: the ids of ended requests that may have run, and as many of others, and
 	// the size of the results that are kept to serve several requests.
@@ -304,7 +305,7 @@
 
 	counters      []*counters.Class // by class index; nil: nothing is counted
 	poolCold      bool              // the worker pool was cold when it came up
-	operatorDrain bool              // an operator turned the drain of clients on
+	operatorDrain DrainState        // whether an operator turned the drain of clients on
 	siblingLoad   whinrudder.Beside // load of another process of this node
 	sharingIDs    bool              // ids of new requests are collected for that process
 	unsharedIDs   []string          // collected ids that it has not received yet
@@ -505,12 +506,7 @@
 	case AdoptPrior:
 		c.adoptPrior(i.Prior)
 	case OperatorDrain:
-		c.operatorDrain = i.On
-		c.addEvent(whinrudder.Drain{On: i.On})
-		c.logEvent("clients", "code", map[bool]string{true: "sent-away", false: "taken-back"}[i.On])
-		if i.Done != nil {
-			i.Done()
-		}
+		c.changeOperatorDrain(i)
 	case QueryLoad:
 		c.handleQueryLoad(i)
 	case SiblingLoad:
@@ -575,7 +571,7 @@
 	if c.pendingPrior != nil {
 		c.adoptPrior(*c.pendingPrior)
 	}
-	if c.operatorDrain {
+	if c.operatorDrain.On {
 		c.addEvent(whinrudder.Drain{On: true})
 	}
 	if c.siblingLoad != (whinrudder.Beside{}) {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -490,3 +490,37 @@
 		t.Errorf("got %+v, want at most %d entries in the list of those that wait", e, minTrimWaiting)
 	}
 }
+
+// Guards against orders of the operators that are lost or undone when two processes report them to each other (review/3):
+// the latest order holds, whatever the order in which the reports come, and two orders of the same time end alike.
+func TestLatestDrainOrderHolds(t *testing.T) {
+	c, now := newSharingCore(t)
+	var state DrainState
+	done := func(s DrainState) { state = s }
+	healthy := func() bool {
+		for _, o := range c.Step(now, []Input{HealthCheck{ReplyTo: sink("check")}}) {
+			if r, ok := o.(Reply); ok {
+				return r.Outcome == Served
+			}
+		}
+		return false
+	}
+	for i, s := range []struct {
+		order DrainState
+		want  DrainState
+	}{
+		{DrainState{On: false, Revision: 0}, DrainState{false, 1}}, // orders to this process
+		{DrainState{On: true, Revision: 0}, DrainState{true, 2}},
+		{DrainState{On: false, Revision: 1}, DrainState{true, 2}}, // an earlier one, reported late
+		{DrainState{On: false, Revision: 2}, DrainState{true, 2}}, // one of the same time
+		{DrainState{On: false, Revision: 5}, DrainState{false, 5}},
+		{DrainState{On: true, Revision: 5}, DrainState{true, 5}},
+		{DrainState{On: false, Revision: 0}, DrainState{false, 6}},
+	} {
+		now++
+		c.Step(now, []Input{OperatorDrain{DrainState: s.order, Done: done}})
+		if state != s.want || healthy() != !s.want.On {
+			t.Errorf("order %d: got %+v and healthy %t, want %+v", i, state, healthy(), s.want)
+		}
+	}
+}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -23,6 +23,7 @@
 	"math"
 
 	"whinrudder"
+	"whinrudder/internal/core"
 	"whinrudder/internal/knowledge"
 	"whinrudder/internal/peer"
 )
@@ -32,7 +33,7 @@
 	kindHello   peer.Kind = 32 + iota // from the successor: its node name and the addresses at which it is to listen
 	kindWelcome                       // from the predecessor: the fronts whose sockets come with the frame
 	kindServing                       // from the successor: it accepts new connections
-	kindLoad                          // from either side: its load, and IDs of requests that it has read
+	kindLoad                          // from either side: its load, IDs of requests that it has read, and the operators' drain
 	kindConn                          // from the predecessor: a connection comes with the frame
 	kindYielded                       // from the predecessor: it accepts no new connections
 )
@@ -58,6 +59,7 @@
 	maxIDsPerLoad = 900 // IDs in one load frame, which keeps it within peer.MaxPayloadBytes
 	maxFronts     = 8
 	maxInProgress = 1e9 // requests that a load frame may report; its memory in kB is limited to 1000 times this number
+	maxRevision   = 1e9 // of the operators' drain
 )
 
 type hello struct {
@@ -69,13 +71,25 @@
 	Node            string       `cbor:"node"`
 	Fronts          []string     `cbor:"fronts"` // whose listening sockets come with the frame, in this order
 	OperatorDrained bool         `cbor:"away"`   // operators have drained the node
-	Summary         peer.Summary `cbor:"head"`   // of the learned state; its sections follow
+	DrainRevision   uint64       `cbor:"away_revision"`
+	Summary         peer.Summary `cbor:"head"` // of the learned state; its sections follow
 }
 
 type load struct {
 	InProgress int     `cbor:"live"`
 	MemoryKB   float64 `cbor:"kb"`
 	IDs        []byte  `cbor:"ids"` // concatenated
+
+	OperatorDrained bool   `cbor:"away"`
+	DrainRevision   uint64 `cbor:"away_revision"` // 0: the sender knows of no order, or its version does not report it
+}
+
+// drainState returns the operators' drain in a frame. Earlier versions send no revision.
+func drainState(on bool, revision uint64) core.DrainState {
+	if on {
+		revision = max(revision, 1)
+	}
+	return core.DrainState{On: on, Revision: revision}
 }
 
 // Conn describes an idle connection that is handed over.
@@ -100,8 +114,8 @@
 	HelloReceived struct{ Node string }
 	// ListenersReceived means that the listening sockets of these fronts have arrived, in this order.
 	ListenersReceived struct {
-		Fronts          []string
-		OperatorDrained bool // operators have drained the node
+		Fronts []string
+		Drain  core.DrainState
 	}
 	// KnowledgeReceived carries the learned state of the predecessor. Everything needed to serve has now arrived.
 	KnowledgeReceived struct{ knowledge.Report }
@@ -109,10 +123,12 @@
 	SuccessorServing struct{}
 	// PredecessorYielded means that the predecessor knows of its successor and accepts no new connections.
 	PredecessorYielded struct{}
-	// LoadReceived carries the load of the other side, and IDs of requests that it has read.
+	// LoadReceived carries the load of the other side, IDs of requests that it has read, and the operators' drain as far
+	// as it knows.
 	LoadReceived struct {
 		whinrudder.Beside
-		IDs []string
+		IDs   []string
+		Drain core.DrainState
 	}
 	// ConnReceived means that a connection has arrived.
 	ConnReceived struct{ Conn }
@@ -130,8 +146,9 @@
 type endpoint struct {
 	reader    peer.Reader
 	outgoing  []Message
-	lastHeard float64 // time at which the other side was last heard
-	deadline  float64 // time by which the present phase must be over; 0: none
+	lastLoad  whinrudder.Beside // as sent last
+	lastHeard float64           // time at which the other side was last heard
+	deadline  float64           // time by which the present phase must be over; 0: none
 }
 
 func (e *endpoint) queue(m Message) { e.outgoing = append(e.outgoing, m) }
@@ -143,11 +160,13 @@
 	return outgoing
 }
 
-// SendLoad reports the load of this process and the IDs of requests that it has read to the other side.
-func (e *endpoint) SendLoad(b whinrudder.Beside, ids []string) {
+// SendLoad reports the load of this process, the IDs of requests that it has read and the operators' drain to the other
+// side.
+func (e *endpoint) SendLoad(b whinrudder.Beside, ids []string, drain core.DrainState) {
+	e.lastLoad = b
 	for first := true; first || len(ids) > 0; first = false {
 		n := min(len(ids), maxIDsPerLoad)
-		l := load{InProgress: b.InProgress, MemoryKB: b.MemoryKB}
+		l := load{InProgress: b.InProgress, MemoryKB: b.MemoryKB, OperatorDrained: drain.On, DrainRevision: drain.Revision}
 		for _, id := range ids[:n] {
 			if len(id) == idBytes {
 				l.IDs = append(l.IDs, id...)
@@ -164,11 +183,13 @@
 		return LoadReceived{}, err
 	}
 	if l.InProgress < 0 || l.InProgress > maxInProgress ||
-		!(l.MemoryKB >= 0 && l.MemoryKB <= maxInProgress*1e3) || len(l.IDs)%idBytes != 0 {
-		return LoadReceived{}, peer.NewFault("bad-load", "invalid load: %d requests in progress, %v kB of memory, %d bytes of IDs",
-			l.InProgress, l.MemoryKB, len(l.IDs))
+		!(l.MemoryKB >= 0 && l.MemoryKB <= maxInProgress*1e3) || len(l.IDs)%idBytes != 0 || l.DrainRevision > maxRevision {
+		return LoadReceived{}, peer.NewFault("bad-load",
+			"invalid load: %d requests in progress, %v kB of memory, %d bytes of IDs, drain revision %d",
+			l.InProgress, l.MemoryKB, len(l.IDs), l.DrainRevision)
 	}
-	e := LoadReceived{Beside: whinrudder.Beside{InProgress: l.InProgress, MemoryKB: l.MemoryKB}}
+	e := LoadReceived{Beside: whinrudder.Beside{InProgress: l.InProgress, MemoryKB: l.MemoryKB},
+		Drain: drainState(l.OperatorDrained, l.DrainRevision)}
 	for ; len(l.IDs) > 0; l.IDs = l.IDs[idBytes:] {
 		e.IDs = append(e.IDs, string(l.IDs[:idBytes]))
 	}
@@ -258,12 +279,12 @@
 
 // SendWelcome hands over the listening sockets of the fronts that have the same address on both sides, and the learned
 // state.
-func (p *Predecessor) SendWelcome(now float64, operatorDrained bool, r knowledge.Report) {
+func (p *Predecessor) SendWelcome(now float64, drain core.DrainState, r knowledge.Report) {
 	if p.phase != phaseHelloReceived {
 		return
 	}
 	p.phase, p.deadline = phaseWelcomeSent, now+servingTimeoutMs
-	w := welcome{Node: p.node, OperatorDrained: operatorDrained, Summary: peer.SummaryOf(r)}
+	w := welcome{Node: p.node, OperatorDrained: drain.On, DrainRevision: drain.Revision, Summary: peer.SummaryOf(r)}
 	for _, name := range frontOrder {
 		if addr := p.hello.Addrs[name]; addr != "" && addr == p.addrs[name] {
 			w.Fronts = append(w.Fronts, name)
@@ -277,6 +298,13 @@
 // frontOrder is the order in which the sockets of the fronts are passed.
 var frontOrder = []string{"http", "h2c", "uwsgi", "peer"}
 
+// SendDrain reports the operators' drain at once. It does nothing before the welcome, which carries it.
+func (p *Predecessor) SendDrain(drain core.DrainState) {
+	if p.phase >= phaseWelcomeSent {
+		p.SendLoad(p.lastLoad, nil, drain)
+	}
+}
+
 // SuccessorServing reports whether the successor accepts new connections.
 func (p *Predecessor) SuccessorServing() bool { return p.phase == phaseServing }
 
@@ -345,6 +373,9 @@
 		if fault := peer.DecodeValue(f, &w); fault != nil {
 			return nil, fault
 		}
+		if w.DrainRevision > maxRevision {
+			return nil, peer.NewFault("bad-welcome", "drain revision %d", w.DrainRevision)
+		}
 		if w.Node != s.node || len(w.Fronts) > maxFronts {
 			return nil, peer.NewFault("other-node", "predecessor is node %q, this is node %q, or it names too many fronts", w.Node, s.node)
 		}
@@ -354,7 +385,7 @@
 			}
 		}
 		s.assembler = peer.NewReportAssembler(w.Summary)
-		return ListenersReceived{w.Fronts, w.OperatorDrained}, nil
+		return ListenersReceived{w.Fronts, drainState(w.OperatorDrained, w.DrainRevision)}, nil
 	case f.Kind == peer.KindRefuse:
 		return nil, peer.NewFault("refused", "%s", peer.DescribeFrame(f))
 	case (f.Kind == peer.KindSection || f.Kind == peer.KindEnd) && s.assembler != nil && !s.complete:
@@ -391,6 +422,13 @@
 // Complete reports whether everything needed to serve has arrived.
 func (s *Successor) Complete() bool { return s.complete }
 
+// SendDrain reports the operators' drain at once.
+func (s *Successor) SendDrain(drain core.DrainState) {
+	if s.complete {
+		s.SendLoad(s.lastLoad, nil, drain)
+	}
+}
+
 // SendServing informs the predecessor that this process accepts new connections.
 func (s *Successor) SendServing() {
 	if s.complete && !s.serving {
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -14,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	"whinrudder"
+	"whinrudder/internal/core"
 	"whinrudder/internal/knowledge"
 	"whinrudder/internal/peer"
 )
@@ -42,6 +43,29 @@
 	return b, ids
 }
 
+// parseDrain parses the operators' drain, such as away=2 or back=3, at the end of words, and returns the other words.
+func parseDrain(words []string) (core.DrainState, []string) {
+	if len(words) == 0 {
+		return core.DrainState{}, words
+	}
+	last := len(words) - 1
+	for _, kind := range []string{"away", "back"} {
+		if text, ok := strings.CutPrefix(words[last], kind+"="); ok {
+			revision, _ := strconv.ParseUint(text, 10, 64)
+			return core.DrainState{On: kind == "away", Revision: revision}, words[:last]
+		}
+	}
+	return core.DrainState{}, words
+}
+
+// describeDrain returns the operators' drain in the form of the transcripts, after a space; empty if there was no order.
+func describeDrain(s core.DrainState) string {
+	if s.Revision == 0 {
+		return ""
+	}
+	return fmt.Sprint(" ", map[bool]string{true: "away", false: "back"}[s.On], "=", s.Revision)
+}
+
 // encodeFrame returns the bytes of the frame that the words of an "in" line describe.
 func encodeFrame(t *testing.T, words []string) []byte {
 	t.Helper()
@@ -50,8 +74,10 @@
 	case "hello":
 		return peer.AppendValue(nil, kindHello, hello{rest[0], parseAddrs(rest[1])})
 	case "welcome":
+		drain, _ := parseDrain(rest)
 		return peer.AppendValue(nil, kindWelcome, welcome{Node: rest[0], Fronts: strings.Split(rest[1], ","),
-			OperatorDrained: len(rest) > 2, Summary: peer.SummaryOf(sample)})
+			OperatorDrained: len(rest) > 2 && rest[2] == "away" || drain.On, DrainRevision: drain.Revision,
+			Summary: peer.SummaryOf(sample)})
 	case "sections":
 		return peer.AppendSections(nil, sample)
 	case "serving":
@@ -59,8 +85,10 @@
 	case "yielded":
 		return peer.AppendValue(nil, kindYielded, struct{}{})
 	case "load":
+		drain, rest := parseDrain(rest)
 		b, ids := parseLoad(rest)
-		return peer.AppendValue(nil, kindLoad, load{b.InProgress, b.MemoryKB, []byte(strings.Join(ids, ""))})
+		return peer.AppendValue(nil, kindLoad, load{b.InProgress, b.MemoryKB, []byte(strings.Join(ids, "")), drain.On,
+			drain.Revision})
 	case "conn":
 		n, _ := strconv.Atoi(strings.TrimPrefix(rest[1], "served="))
 		return peer.AppendValue(nil, kindConn, Conn{Front: rest[0], Served: n})
@@ -84,11 +112,11 @@
 	case HelloReceived:
 		return "asked " + e.Node
 	case ListenersReceived:
-		return strings.TrimSpace("offered " + strings.Join(e.Fronts, ",") + map[bool]string{true: " away"}[e.OperatorDrained])
+		return strings.TrimSpace("offered " + strings.Join(e.Fronts, ",") + describeDrain(e.Drain))
 	case KnowledgeReceived:
 		return fmt.Sprint("learned ", len(e.Classes))
 	case LoadReceived:
-		return "loaded " + describeLoad(e.Beside, e.IDs)
+		return "loaded " + describeLoad(e.Beside, e.IDs) + describeDrain(e.Drain)
 	case PredecessorYielded:
 		return "yielded"
 	case ConnReceived:
@@ -119,14 +147,14 @@
 			case kindWelcome:
 				var w welcome
 				peer.DecodeValue(f, &w)
-				line = "out welcome " + strings.Join(w.Fronts, ",")
+				line = "out welcome " + strings.Join(w.Fronts, ",") + describeDrain(drainState(w.OperatorDrained, w.DrainRevision))
 			case kindServing:
 				line = "out serving"
 			case kindYielded:
 				line = "out yielded"
 			case kindLoad:
 				e, _ := decodeLoad(f)
-				line = "out load " + describeLoad(e.Beside, e.IDs)
+				line = "out load " + describeLoad(e.Beside, e.IDs) + describeDrain(e.Drain)
 			case kindConn:
 				var c Conn
 				peer.DecodeValue(f, &c)
@@ -161,7 +189,8 @@
 	Feed(now float64, b []byte) ([]Event, *peer.Fault)
 	Messages() []Message
 	CheckTimeouts(readUntil float64) *peer.Fault
-	SendLoad(b whinrudder.Beside, ids []string)
+	SendLoad(b whinrudder.Beside, ids []string, drain core.DrainState)
+	SendDrain(drain core.DrainState)
 }
 
 // newMachine returns the machine of a side, under the name of its transcript.
@@ -209,11 +238,17 @@
 					}
 				}
 			case "give":
-				m.(*Predecessor).SendWelcome(now, false, sample)
+				drain, _ := parseDrain(words)
+				m.(*Predecessor).SendWelcome(now, drain, sample)
+			case "drain":
+				drain, _ := parseDrain(words)
+				m.SendDrain(drain)
 			case "serve":
 				m.(*Successor).SendServing()
 			case "load":
-				m.SendLoad(parseLoad(words[1:]))
+				drain, rest := parseDrain(words[1:])
+				b, ids := parseLoad(rest)
+				m.SendLoad(b, ids, drain)
 			case "yield":
 				m.(*Predecessor).SendYielded()
 			case "conn":
@@ -251,8 +286,8 @@
 		handle := func(e Event) {
 			switch e := e.(type) {
 			case HelloReceived:
-				predecessor.SendWelcome(0, false, sample)
-				predecessor.SendLoad(whinrudder.Beside{InProgress: 2}, sent)
+				predecessor.SendWelcome(0, core.DrainState{}, sample)
+				predecessor.SendLoad(whinrudder.Beside{InProgress: 2}, sent, core.DrainState{})
 			case ListenersReceived:
 				named = append(named, e.Fronts...)
 			case KnowledgeReceived:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -80,9 +80,9 @@
 
 	allocator *classindex.Allocator // used by the reload goroutine only
 	upgradeState
-	successorActive atomic.Bool  // a successor process accepts new connections and takes over idle ones
-	shutdown        shutdownPlan // set before the core receives the stop notice
-	operatorDrained atomic.Bool  // the operator has drained the node by the admin port
+	successorActive atomic.Bool                     // a successor process accepts new connections and takes over idle ones
+	shutdown        shutdownPlan                    // set before the core receives the stop notice
+	drainState      atomic.Pointer[core.DrainState] // by the operators' orders; nil: there was none
 
 	openDir         func(path string) (storage.Dir, error) // opens the directory of kept results
 	keptOwner       *kept.Owner                            // nil if no results are kept
--- a/internal/node/subsystems.go
+++ b/internal/node/subsystems.go
@@ -141,10 +141,10 @@
 		return
 	}
 	r := zk.Register(z.node.op.Ensemble, z.node.op.SessionMs, z.node.op.ZNodePath, z.self, auth, z.node.log)
-	r.SetDraining(z.node.operatorDrained.Load())
 	z.mu.Lock()
 	z.znode = r
 	z.mu.Unlock()
+	r.SetDraining(z.node.operatorDrain().On) // after z.znode is set: a later order finds it there
 }
 
 func (z *znodeSubsystem) Reload() {}
@@ -191,12 +191,16 @@
 	return a.counters.AppendText(b, a.PendingRequests())
 }
 
+// SetDraining gives an order of the operators to the core. When it returns true, the order holds, and the other process of
+// the node, if there is one, has been told.
 func (a adminNode) SetDraining(on bool, by float64) bool {
 	done := make(chan struct{})
 	timeout := time.NewTimer(time.Until(timeOf(by)))
 	defer timeout.Stop()
+	order := core.OperatorDrain{DrainState: core.DrainState{On: on},
+		Done: func(s core.DrainState) { a.setOperatorDrain(s); close(done) }}
 	select {
-	case a.inputs <- core.OperatorDrain{On: on, Done: func() { a.setOperatorDrained(on); close(done) }}:
+	case a.inputs <- order:
 	case <-a.done:
 		return false
 	case <-timeout.C:
@@ -204,21 +208,39 @@
 	}
 	select {
 	case <-done:
-		return true
 	case <-a.done:
 		return false
 	case <-timeout.C:
 		return false
 	}
+	if a.upgrade != nil {
+		a.upgrade.ShareOperatorDrain(by)
+	}
+	return true
+}
+
+// operatorDrain returns whether operators have drained the node.
+func (n *Node) operatorDrain() core.DrainState {
+	if s := n.drainState.Load(); s != nil {
+		return *s
+	}
+	return core.DrainState{}
 }
 
-// setOperatorDrained notes that the operator has drained the node or has undone that. It is called by the core
-// and does not block.
-func (n *Node) setOperatorDrained(on bool) {
-	n.operatorDrained.Store(on)
-	n.eachSubsystem(func(s Subsystem) {
-		if d, ok := s.(interface{ SetOperatorDrain(on bool) }); ok {
-			d.SetOperatorDrain(on)
+// setOperatorDrain notes whether operators have drained the node. It is called by the core and does not block.
+func (n *Node) setOperatorDrain(s core.DrainState) {
+	n.drainState.Store(&s)
+	n.eachSubsystem(func(sub Subsystem) {
+		if d, ok := sub.(interface{ SetOperatorDrain(on bool) }); ok {
+			d.SetOperatorDrain(s.On)
 		}
 	})
 }
+
+// operatorDrainReported passes what the other process of the node knows of the operators' orders to the core, if that is
+// later than what this process knows.
+func (n *Node) operatorDrainReported(s core.DrainState) {
+	if s.Supersedes(n.operatorDrain()) {
+		n.submit(core.OperatorDrain{DrainState: s, Done: n.setOperatorDrain})
+	}
+}
--- a/internal/node/upgrade.go
+++ b/internal/node/upgrade.go
@@ -32,15 +32,13 @@
 	}
 	n.upgrade = upgrade.New(upgrade.Host{Name: n.cfg.Name, Dir: n.op.UpgradeDir, ListenAddrs: n.listenAddrs,
 		Submit: n.submit, Log: n.log, CurrentSettings: n.currentSettings, Listeners: n.tcpListeners,
-		OperatorDrained: n.operatorDrained.Load, SuccessorChanged: n.successorChanged,
+		OperatorDrain: n.operatorDrain, OperatorDrainReported: n.operatorDrainReported, SuccessorChanged: n.successorChanged,
 		PredecessorEnded: n.predecessorEnded, AdoptConn: n.adoptConn})
 	if n.handoff, err = n.upgrade.TakeOver(); err != nil || n.handoff == nil {
 		return err
 	}
 	n.setSharing(true)
-	if n.handoff.OperatorDrained {
-		n.inputs <- core.OperatorDrain{On: true, Done: func() { n.operatorDrained.Store(true) }}
-	}
+	n.operatorDrainReported(n.handoff.Drain)
 	names, s := n.currentSettings()
 	prior, remarks := knowledge.Merge(knowledge.DefaultTrustParams,
 		knowledge.Recipient{ClassNames: names, Settings: s}, []knowledge.Report{n.handoff.Report})
--- a/internal/upgrade/predecessor.go
+++ b/internal/upgrade/predecessor.go
@@ -50,6 +50,17 @@
 	return true
 }
 
+// shareDrain reports the operators' drain to the successor. Before the welcome, that will carry it.
+func (p *predecessorSide) shareDrain(by float64) {
+	p.conn.mu.Lock()
+	defer p.conn.mu.Unlock()
+	p.machine.SendDrain(p.u.host.OperatorDrain())
+	if err := p.conn.write(p.machine.Messages(), by, p.u.host.Listeners); err != nil {
+		p.sendFailed = true
+		p.conn.close() // a frame may be written in part, so nothing can follow it
+	}
+}
+
 // run serves the successor until the connection ends.
 func (p *predecessorSide) run() {
 	defer p.u.goroutines.Done()
@@ -85,7 +96,7 @@
 			tick = now() + handover.LoadIntervalMs
 			if load, ok := query.run(p.u.host.Submit); ok {
 				p.conn.mu.Lock()
-				p.machine.SendLoad(load.Beside, load.IDs)
+				p.machine.SendLoad(load.Beside, load.IDs, p.u.host.OperatorDrain())
 				p.conn.mu.Unlock()
 			}
 		}
@@ -111,7 +122,7 @@
 			case handover.HelloReceived:
 				r := p.u.queryKnowledge()
 				p.conn.mu.Lock()
-				p.machine.SendWelcome(now(), p.u.host.OperatorDrained(), r)
+				p.machine.SendWelcome(now(), p.u.host.OperatorDrain(), r)
 				p.conn.mu.Unlock()
 				welcomed = true
 			case handover.SuccessorServing:
@@ -125,6 +136,7 @@
 				p.conn.mu.Unlock()
 			case handover.LoadReceived:
 				p.u.host.Submit(core.SiblingLoad{Beside: e.Beside, IDs: e.IDs})
+				p.u.host.OperatorDrainReported(e.Drain)
 			}
 		}
 		if fault != nil {
--- a/internal/upgrade/successor.go
+++ b/internal/upgrade/successor.go
@@ -24,9 +24,9 @@
 
 // Handoff is what a running process has handed over before its successor serves.
 type Handoff struct {
-	Listeners       map[string]*net.TCPListener // by front
-	OperatorDrained bool                        // operators have drained the node
-	Report          knowledge.Report            // the learned state
+	Listeners map[string]*net.TCPListener // by front
+	Drain     core.DrainState             // whether operators have drained the node
+	Report    knowledge.Report            // the learned state
 }
 
 // TakeOver asks the running process of this node, if there is one, for its listening sockets and its learned state. If
@@ -103,7 +103,7 @@
 func (s *successorSide) handleBeforeServing(e handover.Event, handoff *Handoff) error {
 	switch e := e.(type) {
 	case handover.ListenersReceived:
-		handoff.OperatorDrained = e.OperatorDrained
+		handoff.Drain = e.Drain
 		for _, name := range e.Fronts {
 			f, err := s.conn.nextFile()
 			if err != nil {
@@ -129,9 +129,20 @@
 	return nil
 }
 
-// submitLoad informs the core of the load of the predecessor.
+// submitLoad informs the core of what the predecessor reports with its load.
 func (s *successorSide) submitLoad(e handover.LoadReceived) {
 	s.u.host.Submit(core.SiblingLoad{Beside: e.Beside, IDs: e.IDs})
+	s.u.host.OperatorDrainReported(e.Drain)
+}
+
+// shareDrain reports the operators' drain to the predecessor.
+func (s *successorSide) shareDrain(by float64) {
+	s.conn.mu.Lock()
+	defer s.conn.mu.Unlock()
+	s.machine.SendDrain(s.u.host.OperatorDrain())
+	if err := s.conn.write(s.machine.Messages(), by, nil); err != nil && !errors.Is(err, net.ErrClosed) {
+		s.conn.close() // a frame may be written in part, so nothing can follow it
+	}
 }
 
 // run serves the connection until the predecessor has ended.
@@ -157,7 +168,7 @@
 			tick = now() + handover.LoadIntervalMs
 			if load, ok := query.run(s.u.host.Submit); ok {
 				s.conn.mu.Lock()
-				s.machine.SendLoad(load.Beside, load.IDs)
+				s.machine.SendLoad(load.Beside, load.IDs, s.u.host.OperatorDrain())
 				s.conn.mu.Unlock()
 			}
 		}
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -42,8 +42,10 @@
 
 	// Listeners returns the open listeners of the fronts.
 	Listeners func() map[string]*net.TCPListener
-	// OperatorDrained reports whether operators have drained the node.
-	OperatorDrained func() bool
+	// OperatorDrain returns whether operators have drained the node.
+	OperatorDrain func() core.DrainState
+	// OperatorDrainReported reports the operators' drain as the other process knows it.
+	OperatorDrainReported func(core.DrainState)
 	// SuccessorChanged reports that another process accepts new connections from now on or, with on false, that it was
 	// lost.
 	SuccessorChanged func(on bool)
@@ -202,6 +204,21 @@
 	return side.handOffConn(tcp, info)
 }
 
+// ShareOperatorDrain reports the operators' drain to the other process, if there is one, until an absolute time at the
+// latest. Once it returns, the other process has the report or will read it, also if this process ends.
+func (u *Upgrade) ShareOperatorDrain(by float64) {
+	u.mu.Lock()
+	predecessor, successor := u.asPredecessor, u.asSuccessor
+	u.mu.Unlock()
+	by = min(by, now()+writeTimeoutMs)
+	if predecessor != nil {
+		predecessor.shareDrain(by)
+	}
+	if successor != nil {
+		successor.shareDrain(by)
+	}
+}
+
 // Ready is called once this process can serve. It informs the predecessor, and opens the socket for a successor.
 func (u *Upgrade) Ready(bool) {
 	u.mu.Lock()
--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -27,6 +27,41 @@
 	lines chan string // log lines of handovers and calls of the Host functions
 	mu    sync.Mutex
 	ids   []string // received from the other side
+	drain core.DrainState
+}
+
+// operatorDrain returns whether operators have drained the node.
+func (n *fakeNode) operatorDrain() core.DrainState {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.drain
+}
+
+// operatorDrainReported takes over a later order, as the core does.
+func (n *fakeNode) operatorDrainReported(s core.DrainState) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if s.Supersedes(n.drain) {
+		n.drain = s
+	}
+}
+
+// order gives an order of the operators to this process.
+func (n *fakeNode) order(on bool) core.DrainState {
+	next := core.DrainState{On: on, Revision: n.operatorDrain().Revision + 1}
+	n.operatorDrainReported(next)
+	n.u.ShareOperatorDrain(now() + 1000)
+	return next
+}
+
+// waitForDrain waits until the node knows an order.
+func (n *fakeNode) waitForDrain(t *testing.T, want core.DrainState) {
+	t.Helper()
+	for by := time.Now().Add(10 * time.Second); n.operatorDrain() != want; time.Sleep(time.Millisecond) {
+		if time.Now().After(by) {
+			t.Fatalf("got drain state %+v, want %+v", n.operatorDrain(), want)
+		}
+	}
 }
 
 // submit answers the inputs that the core would answer.
@@ -46,7 +81,7 @@
 }
 
 func newFakeNode(t *testing.T, dir string, l *net.TCPListener, addr string) *fakeNode {
-	n := &fakeNode{l: l, lines: make(chan string, 64)}
+	n := &fakeNode{l: l, lines: make(chan string, 64), drain: core.DrainState{On: true, Revision: 1}}
 	n.u = New(Host{Name: "n1", Dir: dir, Submit: n.submit, ListenAddrs: func() map[string]string { return map[string]string{"http": addr} },
 		Log: func(word string, pairs ...any) {
 			if word == "handover" {
@@ -55,7 +90,7 @@
 		},
 		CurrentSettings: func() ([]string, whinrudder.Settings) { return []string{"a"}, whinrudder.Settings{Cores: 2} },
 		Listeners:       func() map[string]*net.TCPListener { return map[string]*net.TCPListener{"http": n.l} },
-		OperatorDrained: func() bool { return true }, PredecessorEnded: func() { n.lines <- "alone" },
+		OperatorDrain:   n.operatorDrain, OperatorDrainReported: n.operatorDrainReported, PredecessorEnded: func() { n.lines <- "alone" },
 		SuccessorChanged: func(on bool) { n.lines <- fmt.Sprint("succeeded ", on) },
 		AdoptConn: func(c net.Conn, info handover.Conn) bool {
 			n.lines <- fmt.Sprint("moved ", info.Served)
@@ -84,6 +119,36 @@
 	return l.(*net.TCPListener)
 }
 
+// Guards against an order of the operators that is lost in an upgrade (review/3): from the welcome on, before the successor
+// serves and after it, an order that either process accepted reaches the other one, also if the process that accepted it
+// ends at once.
+func TestDrainOrdersReachTheOtherProcess(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	l := listen(t)
+	addr, dir := l.Addr().String(), t.TempDir()
+	predecessor := newFakeNode(t, dir, l, addr)
+	predecessor.u.ListenForSuccessor()
+	successor := newFakeNode(t, dir, nil, addr)
+	successor.drain = core.DrainState{}
+	got, err := successor.u.TakeOver()
+	if err != nil || got == nil {
+		t.Fatal(got, err)
+	}
+	successor.operatorDrainReported(got.Drain)
+	successor.waitForDrain(t, core.DrainState{On: true, Revision: 1})
+	successor.waitForDrain(t, predecessor.order(false)) // before it serves
+	predecessor.waitForDrain(t, successor.order(true))
+	successor.u.Ready(true)
+	successor.waitForDrain(t, predecessor.order(false))
+	predecessor.waitForDrain(t, successor.order(true))
+	last := predecessor.order(false)
+	predecessor.u.EndShutdown(now() + 1000)
+	successor.waitForDrain(t, last)
+	successor.u.EndShutdown(now() + 1000)
+	got.Listeners["http"].Close()
+	l.Close()
+}
+
 // A complete handover of the listening socket and an idle connection. The folder has a path longer than a socket path
 // may be, and a crashed process left its socket there. A second successor must be refused, and a successor must in turn
 // accept one.
@@ -121,7 +186,7 @@
 			t.Fatal(err)
 		}
 	}
-	if got == nil || !got.OperatorDrained || got.Listeners["http"].Addr().String() != addr || got.Report.Node != "n1" {
+	if got == nil || !got.Drain.On || got.Listeners["http"].Addr().String() != addr || got.Report.Node != "n1" {
 		t.Fatalf("handoff is %+v, want one that is complete", got)
 	}
 	if _, err := newFakeNode(t, dir, nil, addr).u.TakeOver(); err == nil || !strings.Contains(err.Error(), "refused") {
