Write an answer that is late by the node's own delay

What callers saw: under 600 hostile h2c connections, ten of twelve calm callers on HTTP/1.1 lost the answer to a request at one moment, after 2.6 s, with code=write. Cause: the core gives an answer a write deadline 1 s ahead; a goroutine that got the processor after that set a deadline in the past, and such a write fails at once. The peer was blamed for the node's own delay. Change: a write gets 100 ms at least from when it begins, which still bounds a peer that does not read. Test seen to fail before: TestLateAnswerIsStillWritten, "caller read \"\" and EOF".

--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -100,8 +100,10 @@
 // restingOutputBytes is the largest buffer for output that a connection without messages in progress keeps.
 const restingOutputBytes = 1 << 10
 
-// defaultWriteTimeoutMs is how long a peer may take to read output that contains no answer.
-const defaultWriteTimeoutMs = 1000
+const (
+	defaultWriteTimeoutMs = 1000 // how long a peer may take to read output that contains no answer
+	minWriteTimeoutMs     = 100  // how long it may take at least, however late the write begins
+)
 
 // Deliver puts an answer into the mailbox of the connection. The core's goroutine calls it; it does not block.
 func (t replyHandle) Deliver(a core.Answer) {
@@ -317,11 +319,13 @@
 	io.CopyN(io.Discard, k.c, lingerMaxBytes)
 }
 
-// write writes the output within the earliest write deadline of the answers in it.
+// write writes the output within the earliest write deadline of the answers in it. If this goroutine got to run so late
+// that the deadline has passed, the peer still gets a moment: a write whose deadline has passed writes nothing.
 func (k *conn) write() error {
-	by := k.writeDeadline
-	if by == 0 {
-		by = now() + defaultWriteTimeoutMs
+	t := now()
+	by := max(k.writeDeadline, t+minWriteTimeoutMs)
+	if k.writeDeadline == 0 {
+		by = t + defaultWriteTimeoutMs
 	}
 	k.writeDeadline = 0
 	k.c.SetWriteDeadline(timeOf(by))
--- a/internal/node/conn_test.go
+++ b/internal/node/conn_test.go
@@ -53,6 +53,26 @@
 	}
 }
 
+// Guards against an answer that is lost because the node itself is late: a goroutine that gets to run only after the write
+// deadline of its answer must still write it to a peer that reads.
+func TestLateAnswerIsStillWritten(t *testing.T) {
+	log := make(logLines, 4)
+	n := testNode(log)
+	here, there := net.Pipe()
+	defer there.Close()
+	k := &conn{node: n, c: here, front: "http", proto: front.NewSerialConn(httpfront.New(n.validator), now())}
+	go k.serve()
+	if _, err := there.Write([]byte("GET /health HTTP/1.1\r\n\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	(<-n.inputs).(core.HealthCheck).ReplyTo.Deliver(core.Answer{WriteDeadline: now() - 500})
+	b := make([]byte, 4096)
+	got, err := there.Read(b)
+	if err != nil || !strings.HasPrefix(string(b[:got]), "HTTP/1.1 200 ") {
+		t.Errorf("caller read %q and %v, want an answer with status 200", b[:got], err)
+	}
+}
+
 // The core's last step may answer a request. That answer must be written before the connection is closed, even
 // if the connection's goroutine has not run since, as can happen on one core.
 func TestLastAnswerIsWrittenBeforeTheEnd(t *testing.T) {
