Measure the memory of an upgrade under requests at full speed

Need: while two processes of a node run side by side they share memory_mb, and the sum was tested for one process only. Change: lab memory has a load in which another process succeeds the node's at half time; the anonymous memory of both counts. The test of the limit plays it as well.

--- a/internal/lab/fronts.go
+++ b/internal/lab/fronts.go
@@ -103,6 +103,9 @@
 	sections string // further sections of the operator's file; if not empty, they begin with a comma
 	memoryMB int    // memory limit of the node's process
 	pool     func(net.Listener)
+
+	upgradeDir string            // folder in which processes of the node succeed each other; empty: none
+	addrs      map[string]string // listen addresses by front of the process to succeed; nil: new ones
 }
 
 // platformMemoryMB is the largest memory limit that the platform gives a node.
@@ -111,12 +114,13 @@
 // startNode starts a node with the largest memory limit of the platform and a worker pool that finishes each run at
 // once. See startNodeWith.
 func startNode(ctx context.Context, program string, fronts []string, sections string) (n *testNode, err error) {
-	return startNodeWith(ctx, program, nodeSetup{fronts, sections, platformMemoryMB, instantPool})
+	return startNodeWith(ctx, program, nodeSetup{fronts: fronts, sections: sections, memoryMB: platformMemoryMB,
+		pool: instantPool})
 }
 
 // startNodeWith starts a node and waits until it is healthy.
 func startNodeWith(ctx context.Context, program string, setup nodeSetup) (n *testNode, err error) {
-	n = &testNode{addrs: map[string]string{}}
+	n = &testNode{addrs: setup.addrs}
 	dir, err := os.MkdirTemp("", "node")
 	if err != nil {
 		return nil, err
@@ -126,8 +130,8 @@
 		return nil, err
 	}
 	go setup.pool(pool)
-	for _, f := range []string{"http", "uwsgi", "h2c"} {
-		if n.addrs[f], err = FreeAddr(); err != nil {
+	if n.addrs == nil {
+		if n.addrs, err = freeFrontAddrs(); err != nil {
 			return nil, err
 		}
 	}
@@ -138,6 +142,9 @@
 			operator += fmt.Sprintf(`,%q:{"listen":%q}`, f, n.addrs[f])
 		}
 	}
+	if setup.upgradeDir != "" {
+		operator += fmt.Sprintf(`,"upgrade":{"dir":%q}`, setup.upgradeDir)
+	}
 	args := []string{"serve", "--config", filepath.Join(dir, "config.json")}
 	if err := os.WriteFile(args[2], []byte(config), 0o600); err != nil {
 		return nil, err
@@ -167,6 +174,19 @@
 	return n, nil
 }
 
+// freeFrontAddrs returns a free address for each front.
+func freeFrontAddrs() (map[string]string, error) {
+	addrs := map[string]string{}
+	for _, f := range []string{"http", "uwsgi", "h2c"} {
+		addr, err := FreeAddr()
+		if err != nil {
+			return nil, err
+		}
+		addrs[f] = addr
+	}
+	return addrs, nil
+}
+
 // ServeStandard serves the same answers with Go's standard server, over HTTP/1.1 and HTTP/2 without TLS, until its
 // process ends. It writes its address to out first.
 func ServeStandard(out io.Writer) error {
--- a/internal/lab/memory.go
+++ b/internal/lab/memory.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -24,7 +25,7 @@
 type MemoryRun struct {
 	Load     string
 	LimitMB  int     // memory_mb of the node
-	PeakMB   float64 // highest anonymous memory of the node's process
+	PeakMB   float64 // highest anonymous memory of the node's processes together
 	Messages int64   // messages or connections of the hostile peers
 	Calm     int64   // requests of the other callers
 	Lost     int64   // those of them that got no answer
@@ -37,6 +38,7 @@
 	name, front string
 	conns       int
 	send        func(p *memoryPeer)
+	upgrade     bool // another process succeeds the node's during the load
 }
 
 // Sizes of what the hostile peers send. They stay within the limits of the node, so that it keeps what it reads.
@@ -47,18 +49,19 @@
 )
 
 var memoryLoads = []memoryLoad{
-	{"requests", "http", 100, func(p *memoryPeer) { p.repeat(func() bool { return p.exchange("unknown") }) }},
-	{"requests", "uwsgi", 100, func(p *memoryPeer) { p.exchange("unknown") }},
-	{"requests", "h2c", 100, func(p *memoryPeer) { p.repeat(func() bool { return p.exchangeH2("unknown") }) }},
+	{"requests", "http", 100, sendUnknownRequests, false},
+	{"upgrade", "http", 100, sendUnknownRequests, true},
+	{"requests", "uwsgi", 100, func(p *memoryPeer) { p.exchange("unknown") }, false},
+	{"requests", "h2c", 100, func(p *memoryPeer) { p.repeat(func() bool { return p.exchangeH2("unknown") }) }, false},
 	{"unfinished", "http", 600, func(p *memoryPeer) {
 		p.write([]byte("POST /rpc/status-lookup HTTP/1.1\r\nX-Note: " + strings.Repeat("x", paddingBytes)))
 		p.awaitClose()
-	}},
+	}, false},
 	{"unfinished", "uwsgi", 600, func(p *memoryPeer) {
 		message := encodeRequest("uwsgi", "unknown")
 		p.write(message[:len(message)-1])
 		p.awaitClose()
-	}},
+	}, false},
 	{"unfinished", "h2c", 600, func(p *memoryPeer) {
 		p.exchangeH2("instant") // its answer raises the limit of streams
 		for range unfinishedStreams {
@@ -66,16 +69,16 @@
 			p.headersH2(p.stream, false)
 		}
 		p.awaitClose()
-	}},
+	}, false},
 	{"ahead", "http", 600, func(p *memoryPeer) {
 		p.write(append(encodeRequest("http", "held"), strings.Repeat("x", aheadBytes)...))
 		p.awaitClose()
-	}},
+	}, false},
 	{"resting", "http", 600, func(p *memoryPeer) {
 		if p.exchange("unknown") {
 			p.awaitClose()
 		}
-	}},
+	}, false},
 	{"unread", "h2c", 600, func(p *memoryPeer) { // the answers wait for a window that never opens
 		p.exchangeH2("instant")
 		p.framer.WriteSettings(http2.Setting{ID: http2.SettingInitialWindowSize, Val: 0})
@@ -84,7 +87,12 @@
 			p.requestH2(p.stream, "instant")
 		}
 		p.awaitClose()
-	}},
+	}, false},
+}
+
+// sendUnknownRequests sends requests that the worker pool does not know, one after another.
+func sendUnknownRequests(p *memoryPeer) {
+	p.repeat(func() bool { return p.exchange("unknown") })
 }
 
 // MemoryLoadNames returns the names of the loads in the order in which they run.
@@ -96,7 +104,7 @@
 }
 
 // MeasureMemory puts one load on a new node with a memory limit, beside calm callers of the HTTP front, and returns the
-// highest anonymous memory of the node's process. It does not enforce the limit.
+// highest anonymous memory of the node's processes together. It does not enforce the limit.
 func MeasureMemory(ctx context.Context, program, name string, limitMB int, length time.Duration) (r MemoryRun, err error) {
 	r = MemoryRun{Load: name, LimitMB: limitMB}
 	var load memoryLoad
@@ -108,11 +116,19 @@
 	if load.send == nil {
 		return r, fmt.Errorf("lab: unknown memory load %q", name)
 	}
-	n, err := startNodeWith(ctx, program, nodeSetup{fronts: []string{load.front}, memoryMB: limitMB, pool: selectivePool})
+	setup := nodeSetup{fronts: []string{load.front}, memoryMB: limitMB, pool: selectivePool}
+	if load.upgrade {
+		if setup.upgradeDir, err = os.MkdirTemp("", "upgrade"); err != nil {
+			return r, err
+		}
+		defer os.RemoveAll(setup.upgradeDir)
+	}
+	n, err := startNodeWith(ctx, program, setup)
 	if err != nil {
 		return r, err
 	}
 	defer n.stop()
+	processes := []*testNode{n}
 	end := time.Now().Add(length)
 	var wait sync.WaitGroup
 	for range 12 {
@@ -132,13 +148,27 @@
 			}
 		})
 	}
-	for time.Now().Before(end) {
-		r.PeakMB = max(r.PeakMB, memoryMB(n.pid, "RssAnon"))
-		time.Sleep(10 * time.Millisecond)
+	for upgradeAt := end.Add(-length / 2); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if load.upgrade && len(processes) == 1 && time.Now().After(upgradeAt) {
+			setup.addrs = n.addrs
+			successor, err := startNodeWith(ctx, program, setup)
+			if err != nil {
+				return r, err
+			}
+			defer successor.stop()
+			processes = append(processes, successor)
+		}
+		sum := 0.0
+		for _, p := range processes {
+			sum += memoryMB(p.pid, "RssAnon")
+		}
+		r.PeakMB = max(r.PeakMB, sum)
 	}
 	wait.Wait()
-	if memoryMB(n.pid, "RssAnon") == 0 {
-		return r, errors.New("lab: the node has ended")
+	for _, p := range processes {
+		if memoryMB(p.pid, "RssAnon") == 0 {
+			return r, errors.New("lab: a process of the node has ended")
+		}
 	}
 	return r, nil
 }
