Read what arrived in time before a connection is closed as silent

Change: before a deadline of the protocol is applied, up to four reads of 1 ms look at what has arrived. A peer that goes on sending slowly is cut as before. Test seen to fail before: TestMessageIsReadAfterADelayOfTheNode, "silent served=0" for a connection with a whole request unread.

--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -67,6 +67,7 @@
 	nodeEnded       bool // the node has ended: the mailbox holds the last answers
 	deadlineChanged bool // another goroutine has set the read deadline
 
+	lateReads     int        // reads after a deadline of the protocol, since the last one in time
 	readDeadline  float64    // the deadline that was set last, in Unix milliseconds; -1 if it has expired
 	deliveries    []delivery // being processed, taken from the mailbox
 	pending       []message  // messages without an answer
@@ -258,6 +259,11 @@
 			return "drain"
 		}
 		n, err := k.c.Read(buf)
+		if err == nil {
+			k.lateReads = 0
+		} else if errors.Is(err, os.ErrDeadlineExceeded) && k.deadlinePassed(idle) {
+			n, err = k.readLate(buf)
+		}
 		if n > 0 {
 			k.proto.Feed(now(), buf[:n])
 			continue
@@ -275,6 +281,31 @@
 	}
 }
 
+// deadlinePassed reports whether a deadline of the protocol has passed, so that the connection may be closed. If another
+// goroutine set an expired read deadline to wake this one, it has not.
+func (k *conn) deadlinePassed(idle float64) bool {
+	at := k.proto.NextDeadline(idle)
+	return at > 0 && now() >= at
+}
+
+// Reads after a deadline of the protocol. They are few and short: a peer that goes on sending slowly is not spared.
+const (
+	maxLateReads = 4 // enough for a whole request
+	lateReadMs   = 1
+)
+
+// readLate looks at what has arrived before a deadline of the protocol is applied. A read whose deadline has passed does
+// not: if this goroutine gets to run late, a message that came in time would be taken for none.
+func (k *conn) readLate(buf []byte) (int, error) {
+	if k.lateReads >= maxLateReads {
+		return 0, os.ErrDeadlineExceeded
+	}
+	k.lateReads++
+	k.readDeadline = -1 // it has to be set again
+	k.c.SetReadDeadline(timeOf(now() + lateReadMs))
+	return k.c.Read(buf)
+}
+
 // handleEvent passes a protocol event to the core. It returns false if the connection has been evicted.
 func (k *conn) handleEvent(e front.Event) bool {
 	if e.Code != "" {
--- a/internal/node/conn_test.go
+++ b/internal/node/conn_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"runtime"
+	"slices"
 	"strings"
 	"testing"
 
@@ -73,6 +74,44 @@
 	}
 }
 
+// Guards against a request that is lost because the node itself is late: a message that arrived before the goroutine of its
+// connection got to run must be read, even if the time for the first message is over by then.
+func TestMessageIsReadAfterADelayOfTheNode(t *testing.T) {
+	log := make(logLines, 4)
+	n := testNode(log)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	dial := func(text string) *conn {
+		there, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { there.Close() })
+		if _, err := there.Write([]byte(text)); err != nil {
+			t.Fatal(err)
+		}
+		here, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return &conn{node: n, c: here, front: "http", proto: front.NewSerialConn(httpfront.New(n.validator), now()-5000)}
+	}
+	go dial("GET /health HTTP/1.1\r\nX-Note: " + strings.Repeat("x", 7000) + "\r\n\r\n").serve()
+	select {
+	case <-n.inputs:
+	case code := <-log:
+		t.Errorf("connection ended with %q before its message was read", code)
+	}
+	go dial("GET /health HTTP/1.1\r\nX-Not").serve()
+	go dial("").serve()
+	if diff := cmp.Diff([]string{"silent served=0", "slow served=0"}, slices.Sorted(slices.Values([]string{<-log, <-log}))); diff != "" {
+		t.Errorf("connections without a whole message: %s", diff)
+	}
+}
+
 // The core's last step may answer a request. That answer must be written before the connection is closed, even
 // if the connection's goroutine has not run since, as can happen on one core.
 func TestLastAnswerIsWrittenBeforeTheEnd(t *testing.T) {
