--- a/internal/lab/fronts.go
+++ b/internal/lab/fronts.go
@@ -320,6 +320,30 @@
 		{"req-from", "1"}, {"req-wait-ms", "5000"}, {"req-kb", "20"}, {"req-rank", "0.5"}}
 }
 
+// appendRequest appends a request in the form of the HTTP or the uwsgi front.
+func appendRequest(b []byte, front string, fields [][2]string, body string) []byte {
+	if front == "http" {
+		b = append(b, "POST /rpc/status-lookup HTTP/1.1\r\nHost: a\r\n"...)
+		for _, f := range fields {
+			b = fmt.Appendf(b, "%s: %s\r\n", f[0], f[1])
+		}
+		return fmt.Appendf(b, "Content-Length: %d\r\n\r\n%s", len(body), body)
+	}
+	vars := [][2]string{{"REQUEST_METHOD", "POST"}, {"PATH_INFO", "/rpc/status-lookup"},
+		{"CONTENT_LENGTH", strconv.Itoa(len(body))}}
+	for _, f := range fields {
+		vars = append(vars, [2]string{"HTTP_" + strings.ToUpper(strings.ReplaceAll(f[0], "-", "_")), f[1]})
+	}
+	var packet []byte
+	for _, v := range vars {
+		for _, s := range v {
+			packet = append(append(packet, byte(len(s)), byte(len(s)>>8)), s...)
+		}
+	}
+	b = append(append(b, 0, byte(len(packet)), byte(len(packet)>>8), 0), packet...)
+	return append(b, body...)
+}
+
 // loadConn sends n requests one after another on one connection.
 func loadConn(front, addr string, n int, failed *atomic.Int64) error {
 	c, err := net.Dial("tcp", addr)
@@ -331,27 +355,7 @@
 	r := bufio.NewReader(c)
 	var b []byte
 	for range n {
-		b = b[:0]
-		if front == "http" {
-			b = append(b, "POST /rpc/status-lookup HTTP/1.1\r\nHost: a\r\n"...)
-			for _, f := range requestFields(requestIDs.Add(1)) {
-				b = fmt.Appendf(b, "%s: %s\r\n", f[0], f[1])
-			}
-			b = append(b, "Content-Length: 2\r\n\r\nok"...)
-		} else {
-			vars := [][2]string{{"REQUEST_METHOD", "POST"}, {"PATH_INFO", "/rpc/status-lookup"}, {"CONTENT_LENGTH", "2"}}
-			for _, f := range requestFields(requestIDs.Add(1)) {
-				vars = append(vars, [2]string{"HTTP_" + strings.ToUpper(strings.ReplaceAll(f[0], "-", "_")), f[1]})
-			}
-			var body []byte
-			for _, v := range vars {
-				for _, s := range v {
-					body = append(append(body, byte(len(s)), byte(len(s)>>8)), s...)
-				}
-			}
-			b = append(append(b, 0, byte(len(body)), byte(len(body)>>8), 0), body...)
-			b = append(b, "ok"...)
-		}
+		b = appendRequest(b[:0], front, requestFields(requestIDs.Add(1)), "ok")
 		if _, err := c.Write(b); err != nil {
 			return err
 		}
--- a/internal/lab/memory.go
+++ b/internal/lab/memory.go
@@ -334,31 +334,11 @@
 }
 
 // encodeRequest returns a request in the form of a front. Calm requests are short and due earlier than the others.
-func encodeRequest(front, body string) (b []byte) {
-	fields := memoryFields()
+func encodeRequest(front, body string) []byte {
 	if body == "calm" {
-		fields = requestFields(requestIDs.Add(1))
+		return appendRequest(nil, front, requestFields(requestIDs.Add(1)), body)
 	}
-	if front == "http" {
-		b = append(b, "POST /rpc/status-lookup HTTP/1.1\r\nHost: a\r\n"...)
-		for _, f := range fields {
-			b = fmt.Appendf(b, "%s: %s\r\n", f[0], f[1])
-		}
-		return fmt.Appendf(b, "Content-Length: %d\r\n\r\n%s", len(body), body)
-	}
-	vars := [][2]string{{"REQUEST_METHOD", "POST"}, {"PATH_INFO", "/rpc/status-lookup"},
-		{"CONTENT_LENGTH", fmt.Sprint(len(body))}}
-	for _, f := range fields {
-		vars = append(vars, [2]string{"HTTP_" + strings.ToUpper(strings.ReplaceAll(f[0], "-", "_")), f[1]})
-	}
-	var packet []byte
-	for _, v := range vars {
-		for _, s := range v {
-			packet = append(append(packet, byte(len(s)), byte(len(s)>>8)), s...)
-		}
-	}
-	b = append(append(b, 0, byte(len(packet)), byte(len(packet)>>8), 0), packet...)
-	return append(b, body...)
+	return appendRequest(nil, front, memoryFields(), body)
 }
 
 // Run times of the worker pool of a memory run.
--- a/internal/node/conn_test.go
+++ b/internal/node/conn_test.go
@@ -36,19 +36,28 @@
 	return n
 }
 
-// A peer that never reads its answer must not block its goroutine forever: the connection is closed at the
-// answer's write deadline. A pipe has no buffer, so only the deadline can end the write.
-func TestWriteDeadlineClosesConn(t *testing.T) {
-	log := make(logLines, 4)
-	n := testNode(log)
+// askHealth sends a health check over a pipe to a new connection of a node. It returns the peer's end and where the core
+// would send the answer.
+func askHealth(t *testing.T, n *Node) (there net.Conn, replyTo core.Sink) {
+	t.Helper()
 	here, there := net.Pipe()
-	defer there.Close()
+	t.Cleanup(func() { there.Close() })
 	k := &conn{node: n, c: here, front: "http", proto: front.NewSerialConn(httpfront.New(n.validator), now())}
+	n.conns.add(k)
 	go k.serve()
 	if _, err := there.Write([]byte("GET /health HTTP/1.1\r\n\r\n")); err != nil {
 		t.Fatal(err)
 	}
-	(<-n.inputs).(core.HealthCheck).ReplyTo.Deliver(core.Answer{WriteDeadline: now() + 20})
+	return there, (<-n.inputs).(core.HealthCheck).ReplyTo
+}
+
+// A peer that never reads its answer must not block its goroutine forever: the connection is closed at the
+// answer's write deadline. A pipe has no buffer, so only the deadline can end the write.
+func TestWriteDeadlineClosesConn(t *testing.T) {
+	log := make(logLines, 4)
+	n := testNode(log)
+	_, replyTo := askHealth(t, n)
+	replyTo.Deliver(core.Answer{WriteDeadline: now() + 20})
 	if diff := cmp.Diff("write served=0", <-log); diff != "" {
 		t.Error(diff)
 	}
@@ -59,14 +68,8 @@
 func TestLateAnswerIsStillWritten(t *testing.T) {
 	log := make(logLines, 4)
 	n := testNode(log)
-	here, there := net.Pipe()
-	defer there.Close()
-	k := &conn{node: n, c: here, front: "http", proto: front.NewSerialConn(httpfront.New(n.validator), now())}
-	go k.serve()
-	if _, err := there.Write([]byte("GET /health HTTP/1.1\r\n\r\n")); err != nil {
-		t.Fatal(err)
-	}
-	(<-n.inputs).(core.HealthCheck).ReplyTo.Deliver(core.Answer{WriteDeadline: now() - 500})
+	there, replyTo := askHealth(t, n)
+	replyTo.Deliver(core.Answer{WriteDeadline: now() - 500})
 	b := make([]byte, 4096)
 	got, err := there.Read(b)
 	if err != nil || !strings.HasPrefix(string(b[:got]), "HTTP/1.1 200 ") {
@@ -118,15 +121,7 @@
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	log := make(logLines, 4)
 	n := testNode(log)
-	here, there := net.Pipe()
-	defer there.Close()
-	k := &conn{node: n, c: here, front: "http", proto: front.NewSerialConn(httpfront.New(n.validator), now())}
-	n.conns.add(k)
-	go k.serve()
-	if _, err := there.Write([]byte("GET /health HTTP/1.1\r\n\r\n")); err != nil {
-		t.Fatal(err)
-	}
-	to := (<-n.inputs).(core.HealthCheck).ReplyTo
+	there, to := askHealth(t, n)
 	read := make(chan string)
 	go func() {
 		b := make([]byte, 4096)
