Bound the commands that the worker pool may not have read

Commands that are sent are kept until a later poll is answered; a worker pool that runs but answers no polls makes them grow with time, and polls themselves were kept though they are never sent again. Change: polls are not kept, and of the other commands that start no run the last 1,024. Starts of runs are bounded by the module. Test seen to fail before: TestUnconfirmedCommandsAreBounded, "got 20485 commands that are not known to have been read".

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -18,6 +18,11 @@
 	"whinrudder/internal/core"
 )
 
+// maxUnconfirmed bounds the commands that are kept because the worker pool may not have read them, besides the starts of
+// runs, which the module bounds. If it answers no polls, the oldest are given up: at worst a run that nobody waits for ends
+// later.
+const maxUnconfirmed = 1024
+
 // maxLineBytes bounds a notice: at least four times the size of one with a result of 4 KiB in base64.
 const maxLineBytes = 32 << 10
 
@@ -48,6 +53,7 @@
 	line        []byte
 	spawn       string // id of the run that the command starts, or empty
 	stop        string // id of the run that the command stops, or empty
+	poll        bool   // it polls for gauges, which is not repeated on another connection
 	pollsBefore uint64 // number of polls queued before the command
 }
 
@@ -105,7 +111,7 @@
 	case core.Poll:
 		l.polls++
 		b := fmt.Appendf(nil, `{"msg":"poll","cookie":"gauges%d"}`+"\n", l.polls)
-		l.queue = append(l.queue, command{line: b, pollsBefore: l.polls - 1})
+		l.queue = append(l.queue, command{line: b, poll: true, pollsBefore: l.polls - 1})
 	case core.Verify:
 		b := fmt.Appendf(nil, `{"msg":"verify","cookie":"%s"}`+"\n", o.Tag)
 		l.queue = append(l.queue, command{line: b, pollsBefore: l.polls})
@@ -121,12 +127,37 @@
 	for _, c := range l.queue {
 		b = append(b, c.line...)
 	}
-	l.sent = append(l.sent, l.queue...)
+	for _, c := range l.queue {
+		if !c.poll {
+			l.sent = append(l.sent, c)
+		}
+	}
+	l.trimSent()
 	clear(l.queue) // a command in sent must not be kept by queue as well
 	l.queue = l.queue[:0]
 	return b
 }
 
+// trimSent gives up the oldest commands that start no run if there are too many.
+func (l *Link) trimSent() {
+	if len(l.sent) <= maxUnconfirmed {
+		return
+	}
+	excess := -maxUnconfirmed
+	for _, c := range l.sent {
+		if c.spawn == "" {
+			excess++
+		}
+	}
+	l.sent = slices.DeleteFunc(l.sent, func(c command) bool {
+		remove := c.spawn == "" && excess > 0
+		if remove {
+			excess--
+		}
+		return remove
+	})
+}
+
 // ErrLineTooLong is returned for an incomplete line longer than the limit of a notice.
 var ErrLineTooLong = errors.New("notice too long")
 
@@ -228,7 +259,7 @@
 		case c.spawn != "":
 			inDoubt = append(inDoubt, c.spawn)
 			doubtful[c.spawn] = true
-		case !bytes.HasPrefix(c.line, []byte(`{"msg":"poll"`)):
+		default:
 			resend = append(resend, c)
 		}
 	}
