Measure the memory under faults and silent connections

Need: a connection that was answered with a fault is read on for up to 1 s, which the loads so far do not show.

--- a/internal/lab/memory.go
+++ b/internal/lab/memory.go
@@ -79,6 +79,15 @@
 			p.awaitClose()
 		}
 	}, false},
+	{"faults", "http", 600, func(p *memoryPeer) { // the node reads on for a moment after its answer
+		p.write([]byte("POST /rpc/unknown HTTP/1.1\r\nX-Note: " + strings.Repeat("x", paddingBytes) + "\r\n\r\n" +
+			strings.Repeat("x", aheadBytes)))
+		p.awaitClose()
+	}, false},
+	{"silent", "http", 600, func(p *memoryPeer) {
+		atomic.AddInt64(p.messages, 1)
+		p.awaitClose()
+	}, false},
 	{"unread", "h2c", 600, func(p *memoryPeer) { // the answers wait for a window that never opens
 		p.exchangeH2("instant")
 		p.framer.WriteSettings(http2.Setting{ID: http2.SettingInitialWindowSize, Val: 0})
