Remove code of the stand-ins that no case uses

Cause: a case that was played and not kept left two functions and a field behind. Change: they are gone.

--- a/review/_standin2/h2.go
+++ b/review/_standin2/h2.go
@@ -26,9 +26,8 @@
 	encoded  bytes.Buffer
 	next     uint32
 	streams  map[uint32]*h2stream
-	limit    int      // streams that may be open at a time
-	goAways  []uint32 // the last stream that each GOAWAY has named
-	closedAt time.Time
+	goAways  []uint32  // the last stream that each GOAWAY has named
+	closedAt time.Time // zero: it goes on
 	closed   chan struct{}
 	endErr   error
 }
@@ -70,7 +69,7 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &gateway{w: w, reg: reg, name: name, conn: c, roundTrip: roundTrip, next: 1, streams: map[uint32]*h2stream{}, limit: 1,
+	g := &gateway{w: w, reg: reg, name: name, conn: c, roundTrip: roundTrip, next: 1, streams: map[uint32]*h2stream{},
 		closed: make(chan struct{})}
 	g.enc = hpack.NewEncoder(&g.encoded)
 	setting := binary.BigEndian.AppendUint32([]byte{0, 4}, window)
@@ -122,11 +121,6 @@
 	switch kind {
 	case frameSettings:
 		if flags&1 == 0 {
-			for ; len(p) >= 6; p = p[6:] {
-				if binary.BigEndian.Uint16(p) == 3 {
-					g.limit = int(binary.BigEndian.Uint32(p[2:]))
-				}
-			}
 			g.write(frame(frameSettings, 1, 0, nil))
 		}
 	case framePing:
@@ -180,26 +174,6 @@
 	}
 }
 
-// hasRoom reports whether another stream may be open now.
-func (g *gateway) hasRoom() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	open := 0
-	for _, s := range g.streams {
-		if !s.whole && !s.reset {
-			open++
-		}
-	}
-	return open < g.limit
-}
-
-// mayOpen reports whether the connection takes further streams: it has not ended, and no GOAWAY has come.
-func (g *gateway) mayOpen() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return len(g.goAways) == 0 && g.closedAt.IsZero()
-}
-
 // send opens a stream with a request. It returns nil if the connection has ended.
 func (g *gateway) send(class, token, body string, wait time.Duration) *h2stream {
 	id := newID()
