Review case 7: give-ups over h2c end the connection with all that is open on it

Cause: a connection may have 128 resets and 32 a second; over that it is closed, and the streams that nobody gave up get no answer. A gateway whose callers send second copies of reads goes over that at 150 requests a second.

--- a/review/_standin2/h2.go
+++ b/review/_standin2/h2.go
@@ -26,6 +26,7 @@
 	encoded  bytes.Buffer
 	next     uint32
 	streams  map[uint32]*h2stream
+	limit    int       // streams that may be open at a time, by the settings of the node
 	goAways  []uint32  // the last stream that each GOAWAY has named
 	closedAt time.Time // zero: it goes on
 	closed   chan struct{}
@@ -55,6 +56,12 @@
 	framePing         = 6
 	frameGoAway       = 7
 	frameWindowUpdate = 8
+
+	settingMaxConcurrentStreams = 3
+	settingInitialWindowSize    = 4
+
+	codeRefusedStream = 7
+	codeCancel        = 8
 )
 
 func frame(kind, flags byte, stream uint32, payload []byte) []byte {
@@ -69,10 +76,10 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &gateway{w: w, reg: reg, name: name, conn: c, roundTrip: roundTrip, next: 1, streams: map[uint32]*h2stream{},
+	g := &gateway{w: w, reg: reg, name: name, conn: c, roundTrip: roundTrip, next: 1, streams: map[uint32]*h2stream{}, limit: 1,
 		closed: make(chan struct{})}
 	g.enc = hpack.NewEncoder(&g.encoded)
-	setting := binary.BigEndian.AppendUint32([]byte{0, 4}, window)
+	setting := binary.BigEndian.AppendUint32([]byte{0, settingInitialWindowSize}, window)
 	c.Write(append([]byte("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"), frame(frameSettings, 0, 0, setting)...))
 	go g.read()
 	return g, nil
@@ -121,6 +128,11 @@
 	switch kind {
 	case frameSettings:
 		if flags&1 == 0 {
+			for ; len(p) >= 6; p = p[6:] {
+				if binary.BigEndian.Uint16(p) == settingMaxConcurrentStreams {
+					g.limit = int(binary.BigEndian.Uint32(p[2:]))
+				}
+			}
 			g.write(frame(frameSettings, 1, 0, nil))
 		}
 	case framePing:
@@ -150,10 +162,15 @@
 		s.body = append(s.body, p...)
 		if n := uint32(len(p)); n > 0 {
 			update := binary.BigEndian.AppendUint32(nil, n)
+			last := flags&1 != 0
 			time.AfterFunc(g.roundTrip, func() {
 				g.mu.Lock()
 				defer g.mu.Unlock()
-				g.write(append(frame(frameWindowUpdate, 0, 0, update), frame(frameWindowUpdate, 0, stream, update)...))
+				b := frame(frameWindowUpdate, 0, 0, update)
+				if !last && !s.reset {
+					b = append(b, frame(frameWindowUpdate, 0, stream, update)...)
+				}
+				g.write(b)
 			})
 		}
 		g.endIf(s, flags)
@@ -174,6 +191,45 @@
 	}
 }
 
+// mayOpen reports whether another stream may be opened now: the connection goes on, no GOAWAY has come, and there is room.
+func (g *gateway) mayOpen() (open, room bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := 0
+	for _, s := range g.streams {
+		if !s.whole && !s.reset {
+			n++
+		}
+	}
+	return g.closedAt.IsZero() && len(g.goAways) == 0, n < g.limit
+}
+
+// giveUp resets a stream whose caller is gone, unless it has its answer. It reports whether it did.
+func (g *gateway) giveUp(s *h2stream) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if s.whole || s.reset || !g.closedAt.IsZero() {
+		return false
+	}
+	g.write(frame(frameRstStream, 0, s.id, binary.BigEndian.AppendUint32(nil, codeCancel)))
+	s.reset, s.resetBy = true, codeCancel
+	g.reg.end(s.reqID)
+	close(s.ended)
+	return true
+}
+
+// isNamed reports whether a GOAWAY says that a stream was not processed.
+func (g *gateway) isNamed(s *h2stream) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, last := range g.goAways {
+		if s.id > last {
+			return true
+		}
+	}
+	return false
+}
+
 // send opens a stream with a request. It returns nil if the connection has ended.
 func (g *gateway) send(class, token, body string, wait time.Duration) *h2stream {
 	id := newID()
--- a/review/_standin2/http.go
+++ b/review/_standin2/http.go
@@ -2,13 +2,11 @@
 
 import (
 	"bufio"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
 	"time"
 )
 
@@ -98,11 +96,6 @@
 	return id, a
 }
 
-// crossed reports whether a request without an answer met the close of its connection within 50 ms: it is sent once more.
-func (a answer) crossed() bool {
-	return a.status == 0 && !errors.Is(a.err, os.ErrDeadlineExceeded) && a.ended.Sub(a.written) < 50*time.Millisecond
-}
-
 // get makes one call to an operators' address and returns the status, or 0.
 func get(addr, path string) int {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
--- a/review/_standin2/pool.go
+++ b/review/_standin2/pool.go
@@ -58,14 +58,6 @@
 	return 0
 }
 
-// isResult reports whether a run of the request made this result.
-func (r *registry) isResult(id, result string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	j := r.sent[id]
-	return j != nil && j.results[result]
-}
-
 // pool is a worker pool at one address, with its own numbers of notices.
 type pool struct {
 	w        *world
--- a/review/_standin2/world.go
+++ b/review/_standin2/world.go
@@ -241,42 +241,20 @@
 	fmt.Fprintf(n.w.record, "---- log of %s\n%s", n.name, b)
 }
 
-// announceService receives the reports of nodes.
-type announceService struct {
-	conn net.PacketConn
-	mu   sync.Mutex
-	last map[string]time.Time
-}
+// announceService is the address of the announce service. The cases need nothing of what is reported there.
+type announceService struct{ conn net.PacketConn }
 
 func newAnnounceService() *announceService {
 	c, err := net.ListenPacket("udp", "127.0.0.1:0")
 	must(err)
-	a := &announceService{conn: c, last: map[string]time.Time{}}
 	go func() {
-		b := make([]byte, 512)
-		for {
-			n, _, err := c.ReadFrom(b)
-			if err != nil {
+		for b := make([]byte, 512); ; {
+			if _, _, err := c.ReadFrom(b); err != nil {
 				return
 			}
-			if words := strings.Fields(string(b[:n])); len(words) == 3 && words[0] == "announce" {
-				a.mu.Lock()
-				a.last[words[1]] = time.Now()
-				a.mu.Unlock()
-			}
 		}
 	}()
-	return a
+	return &announceService{c}
 }
 
 func (a *announceService) addr() string { return a.conn.LocalAddr().String() }
-
-// listed reports whether a node has reported in the last 3 s.
-func (a *announceService) listed(name string) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return time.Since(a.last[name]) < 3*time.Second
-}
-
-// startedAt returns when the process was started.
-func (n *node) startedAt() time.Time { return n.began }
