Keep connections at the end of a drain until their answers are delivered

Cause: a connection closed once the core had answered, though its protocol held a part of the answer behind the peer's window, or the kernel held it for a slow peer. The same: such an h2c connection counted as idle and could be evicted; uwsgi and http with Connection: close closed over unsent bytes; the link dropped the last commands. Change: front.Protocol.HasUnsentAnswer; a connection stays, and counts as busy, until that is false and the send queue of the socket is acknowledged, at most until the end of the process. What is cut is logged as code=cut.

--- a/internal/front/protocol.go
+++ b/internal/front/protocol.go
@@ -14,6 +14,8 @@
 	Answer(now float64, tag uint32, a core.Answer)
 	// AppendOutput appends the bytes to send now.
 	AppendOutput(now float64, b []byte) []byte
+	// HasUnsentAnswer reports whether an answer, or a part of one, is still to be sent, possibly once the peer makes room.
+	HasUnsentAnswer() bool
 	// StartDrain announces to the peer that the node accepts no more requests.
 	StartDrain(now float64)
 	// NextDeadline returns the time at which HandleDeadline must be called if no bytes arrive before, or 0 if there is
@@ -141,6 +143,9 @@
 	return b
 }
 
+// HasUnsentAnswer implements Protocol.
+func (s *SerialConn) HasUnsentAnswer() bool { return len(s.out) > 0 }
+
 // Release implements Protocol. It does nothing.
 func (s *SerialConn) Release() {}
 
--- a/internal/h2/write.go
+++ b/internal/h2/write.go
@@ -107,6 +107,19 @@
 	return b
 }
 
+// HasUnsentAnswer implements front.Protocol. The answers of a connection that was closed for an error are given up.
+func (c *Conn) HasUnsentAnswer() bool {
+	if c.closeCode != "" {
+		return false
+	}
+	for _, s := range c.streams {
+		if s.answer != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // sendQuantum sends the headers of an answer if they are not sent yet, and the next part of the result.
 func (c *Conn) sendQuantum(b []byte, s *stream) []byte {
 	if s.due > 0 && c.now > s.due+answerGraceMs {
--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -88,6 +88,7 @@
 	nodeEnded       bool // the node has ended: the mailbox holds the last answers
 	deadlineChanged bool // another goroutine has set the read deadline
 
+	busy          bool       // the connection table knows that a message is pending or an answer unsent
 	lookedLast    bool       // what arrived before the end of the node was read
 	lateReads     int        // reads after a deadline of the protocol, since the last one in time
 	readDeadline  float64    // the deadline that was set last, in Unix milliseconds; -1 if it has expired
@@ -164,11 +165,29 @@
 	return len(k.mailbox) > 0 || k.draining && !k.drainStarted
 }
 
-// canEnd reports whether the node has ended and all messages are answered.
+// canEnd reports whether the node has ended and all messages are answered, with no part of an answer left to send.
 func (k *conn) canEnd() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.nodeEnded && len(k.mailbox) == 0 && len(k.pending) == 0
+	return k.nodeEnded && len(k.mailbox) == 0 && !k.owesAnswer()
+}
+
+// owesAnswer reports whether a message has no answer yet, or an answer is not written in whole.
+func (k *conn) owesAnswer() bool { return len(k.pending) > 0 || k.proto.HasUnsentAnswer() }
+
+// noteIdle tells the connection table when nothing is owed any more.
+func (k *conn) noteIdle() {
+	if k.busy && !k.owesAnswer() {
+		k.busy = false
+		_, lastAnswer := k.proto.Served()
+		k.node.conns.markIdle(k, connState{answered: true, since: lastAnswer})
+	}
+}
+
+// noteBusy tells the connection table that a message has come. It returns false if the connection was evicted before.
+func (k *conn) noteBusy() bool {
+	k.busy = k.busy || k.node.conns.markBusy(k)
+	return k.busy
 }
 
 // processMailbox passes the contents of the mailbox to the protocol.
@@ -190,10 +209,6 @@
 		k.proto.Answer(t, l.tag, l.answer)
 		k.deliveries[i] = delivery{} // allows the result to be garbage collected
 	}
-	if len(k.deliveries) > 0 && len(k.pending) == 0 {
-		_, lastAnswer := k.proto.Served()
-		k.node.conns.markIdle(k, connState{answered: true, since: lastAnswer})
-	}
 }
 
 // removePending removes a message from the pending ones and returns it.
@@ -259,8 +274,10 @@
 			}
 		}
 		if code, _ := k.proto.CloseReason(); code != "" {
+			k.awaitDelivery()
 			return code
 		}
+		k.noteIdle()
 		idle := float64(k.node.idleTimeoutMs.Load())
 		if wake := k.proto.NextDeadline(idle); k.takeDeadlineChanged() || wake != k.readDeadline {
 			k.readDeadline = wake
@@ -276,7 +293,7 @@
 			return "moved"
 		}
 		if k.canEnd() {
-			if k.lookedLast || !k.look(buf) {
+			if k.finish(buf) {
 				return "drain"
 			}
 			continue
@@ -296,6 +313,8 @@
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			k.readDeadline = -1 // expired: it has to be set again, whoever set it
 			k.proto.HandleDeadline(clock.Now(), float64(k.node.idleTimeoutMs.Load()))
+		case errors.Is(err, net.ErrClosed) && k.owesAnswer():
+			return "cut"
 		case errors.Is(err, net.ErrClosed):
 			return "drain"
 		default:
@@ -329,15 +348,28 @@
 	return k.c.Read(buf)
 }
 
+// finish reports whether the connection may be closed at the end of the node: what arrived before is read, and all answers
+// have reached the machine of the peer. Whatever arrives after a close resets the connection, and the kernel then drops what
+// it has not delivered.
+func (k *conn) finish(buf []byte) bool {
+	if k.lookedLast && k.isDelivered() {
+		return true
+	}
+	return !k.look(buf) && k.isDelivered()
+}
+
 // look reads what has arrived just before the connection is closed, and reports whether anything had: a request that was
 // written in time gets an answer.
 func (k *conn) look(buf []byte) bool {
 	k.lookedLast = true
 	k.readDeadline = -1 // it has to be set again
-	k.c.SetReadDeadline(clock.Time(clock.Now() + lateReadMs))
-	n, _ := k.c.Read(buf)
+	until := clock.Time(clock.Now() + lateReadMs)
+	k.c.SetReadDeadline(until)
+	n, err := k.c.Read(buf)
 	if n > 0 {
 		k.proto.Feed(clock.Now(), buf[:n])
+	} else if !errors.Is(err, os.ErrDeadlineExceeded) {
+		time.Sleep(time.Until(until)) // the peer sends no more, but it may still read
 	}
 	return n > 0
 }
@@ -349,7 +381,7 @@
 		k.node.log("stream", "front", k.front, "peer", k.c.RemoteAddr(), "stream", int(e.Tag), "code", e.Code)
 	case e.Cancelled:
 		k.handleCancelled(e.Tag)
-	case len(k.pending) == 0 && !k.node.conns.markBusy(k):
+	case !k.noteBusy():
 		k.refuseEvicted(e)
 	default:
 		k.submitMessage(e)
@@ -361,10 +393,6 @@
 	if p, ok := k.removePending(tag); ok && p.id != "" {
 		k.node.submit(core.CallerGone{ID: p.id, ReplyTo: replyHandle{k, p.tag}})
 	}
-	if len(k.pending) == 0 {
-		_, lastAnswer := k.proto.Served()
-		k.node.conns.markIdle(k, connState{answered: true, since: lastAnswer})
-	}
 }
 
 // refuseEvicted answers a message that was read on a connection whose place has been given to another one: what was read
--- a/internal/node/link.go
+++ b/internal/node/link.go
@@ -17,6 +17,7 @@
 	linkWriteTimeoutMs  = 2000 // a worker pool that has not read the commands in this time is disconnected
 	linkRedialMs        = 100  // pause between two connection attempts
 	linkDialTimeoutMs   = 100  // a connection attempt that takes longer is retried
+	linkLastWriteMs     = 20   // how long the last commands may take when the node ends
 	linkDetachTimeoutMs = 200  // how long a link that changes its address waits for the answer to its last poll
 )
 
@@ -172,6 +173,7 @@
 		out = append(out, reply...)
 		switch {
 		case l.node.hasEnded():
+			l.writeLast(c, out)
 			return "end", next
 		case feedErr != nil:
 			return "bad-notice", next
@@ -180,3 +182,12 @@
 		}
 	}
 }
+
+// writeLast writes what the core has queued by the end of the node, such as the stop of a run that nobody waits for.
+func (l *link) writeLast(c net.Conn, out []byte) {
+	l.mu.Lock()
+	out = l.state.AppendCommands(out)
+	l.mu.Unlock()
+	c.SetWriteDeadline(clock.Time(clock.Now() + linkLastWriteMs))
+	c.Write(out)
+}
