Answer what is open on an h2c connection before a budget ends it

Cause: an exhausted budget closed the connection with all streams in progress; resets had 32 a second, and replies that the node itself causes (WINDOW_UPDATE, late frames) counted as well. The link to the worker pool ended over one unreadable notice in the same way, and read it again on the next connection. Change: the connection is wound down: GOAWAY, no further streams, answers, then the close. Frames beyond a budget delay the next read by 0.5 ms each. Resets count in the first 10 ms of a stream; DATA and ends of streams give back what they cause. The link passes over an unreadable notice.

--- a/internal/front/protocol.go
+++ b/internal/front/protocol.go
@@ -8,6 +8,9 @@
 type Protocol interface {
 	// Feed processes received bytes.
 	Feed(now float64, b []byte)
+	// ReadAfter returns a time before which no more bytes should be read from the peer, because it sends too much; 0 if there is
+	// none. The peer's bytes wait in the kernel meanwhile.
+	ReadAfter() float64
 	// Next returns the next event for the core, or false if there is none yet.
 	Next(now float64) (Event, bool)
 	// Answer accepts the final answer to the message with a tag. It is ignored if the message is no longer in progress.
@@ -143,6 +146,9 @@
 	return b
 }
 
+// ReadAfter implements Protocol. A peer that sends ahead is bounded by Feed.
+func (s *SerialConn) ReadAfter() float64 { return 0 }
+
 // HasUnsentAnswer implements Protocol.
 func (s *SerialConn) HasUnsentAnswer() bool { return len(s.out) > 0 }
 
--- a/internal/h2/conn.go
+++ b/internal/h2/conn.go
@@ -22,6 +22,15 @@
 	answerGraceMs      = 80       // an answer this long past its due time is not sent
 	smallWindowMs      = 100      // a health check or a fault counts against the stream limit for this long
 	maxClosedStreams   = 256      // closed streams that are remembered
+	rapidResetMs       = 10       // resets of younger streams count against a budget; streams that last are bounded by their limit
+	excessPauseMs      = 0.5      // pause in reading for each frame beyond a budget
+)
+
+// What the node's own frames give back to the budgets of the peer's replies.
+const (
+	updatesPerData  = 2 // for each DATA frame a WINDOW_UPDATE of the stream and one of the connection
+	straysPerData   = 1 // the former may arrive when the stream has ended
+	straysPerStream = 1 // a RST_STREAM may cross the end of the stream
 )
 
 // closeKind is the way in which a stream was closed. The zero value means that it was not closed.
@@ -70,6 +79,8 @@
 	acceptedID   uint32 // highest stream id that was not refused, as reported by GOAWAY
 	closed       map[uint32]closeKind
 	closedIDs    []uint32     // keys of closed, oldest first
+	forgottenID  uint32       // highest id that was removed from closed
+	undecoded    bool         // a header block was dropped, so that later ones can't be decoded
 	block        *headerBlock // the incomplete header block, or nil
 	dec          *hpack.Decoder
 	enc          *hpack.Encoder
@@ -98,6 +109,8 @@
 	draining     bool
 	pingDeadline float64 // for the acknowledgement of the PING of the drain
 	finalGoAway  bool    // the GOAWAY frame with the last accepted id was sent
+	endCode      string  // the close code once no stream is left, after finalGoAway; empty: a drain
+	readAfter    float64 // see front.Protocol.ReadAfter
 	closeCode    string  // see front.Protocol.CloseReason
 	linger       bool
 }
@@ -114,7 +127,7 @@
 		budget{name: "update", burst: 2048, perSecond: 2048}
 	c.priorities, c.unknowns = budget{name: "priority", burst: 256, perSecond: 64},
 		budget{name: "unknown", burst: 64, perSecond: 8}
-	c.resets, c.refusals = budget{name: "reset", burst: 128, perSecond: 32},
+	c.resets, c.refusals = budget{name: "reset", burst: 256, perSecond: 256},
 		budget{name: "refused", burst: 256, perSecond: 64}
 	c.faults, c.strays = budget{name: "fault", burst: 128, perSecond: 32},
 		budget{name: "stray", burst: 256, perSecond: 64}
@@ -157,10 +170,12 @@
 		}
 		s.answer, s.unsent, s.body = nil, nil, nil
 		c.releaseStream(s)
+		c.strays.earn(straysPerStream)
 		c.servedAt = c.now // start of the idle time if no stream is left
 	}
 	if _, ok := c.closed[id]; !ok {
 		if len(c.closedIDs) >= maxClosedStreams {
+			c.forgottenID = max(c.forgottenID, c.closedIDs[0])
 			delete(c.closed, c.closedIDs[0])
 			c.closedIDs = c.closedIDs[1:]
 		}
@@ -180,15 +195,33 @@
 	c.events = append(c.events, front.Event{Tag: id, Cancelled: true})
 }
 
-// spend takes one event from a budget. If the budget is exhausted, it closes the connection and returns false.
+// spend takes one event from a budget. If the budget is exhausted, it winds the connection down. It returns false if that
+// closed the connection.
 func (c *Conn) spend(b *budget) bool {
-	if b.spend(c.now) {
-		return true
+	if !b.spend(c.now) {
+		c.windDown(EnhanceYourCalm, b.code())
 	}
-	c.fail(EnhanceYourCalm, b.code())
-	return false
+	return c.closeCode == ""
 }
 
+// windDown ends the connection for what one side of it did, without a loss for the others who use it: no more streams are
+// accepted, and the connection is closed once the open ones are answered, at once if there is none. Until then it is read
+// more slowly with each call.
+func (c *Conn) windDown(e ErrCode, code string) {
+	if len(c.streams) == 0 && !c.finalGoAway {
+		c.fail(e, code)
+		return
+	}
+	c.readAfter = max(c.readAfter, c.now) + excessPauseMs
+	if c.endCode == "" {
+		c.endCode, c.finalGoAway = code, true
+		c.control = appendGoAway(c.control, c.acceptedID, e, code)
+	}
+}
+
+// ReadAfter implements front.Protocol.
+func (c *Conn) ReadAfter() float64 { return c.readAfter }
+
 // Feed implements front.Protocol.
 func (c *Conn) Feed(now float64, b []byte) {
 	c.now = max(c.now, now)
@@ -280,8 +313,8 @@
 	switch kind := c.closed[h.stream]; {
 	case h.stream > c.highestID:
 		c.fail(ProtocolError, "idle-stream")
-	case kind == resetByUs:
-		c.spend(&c.strays) // sent before the peer received the reset
+	case kind == resetByUs, kind == 0 && h.stream <= c.forgottenID:
+		c.spend(&c.strays) // sent before the peer received the reset, as far as is known
 	case kind == resetByPeer:
 		if c.spend(&c.strays) {
 			c.control = appendRstStream(c.control, h.stream, StreamClosed)
--- a/internal/h2/control.go
+++ b/internal/h2/control.go
@@ -35,8 +35,12 @@
 		c.fail(ProtocolError, "idle-stream")
 	case c.streams[h.stream] == nil:
 		c.spend(&c.strays) // sent before the peer learned that the stream is closed
-	case c.spend(&c.resets):
+	default:
+		rapid := c.now < c.streams[h.stream].openedAt+rapidResetMs
 		c.closeStream(h.stream, resetByPeer)
+		if rapid {
+			c.spend(&c.resets)
+		}
 	}
 }
 
--- a/internal/h2/frame.go
+++ b/internal/h2/frame.go
@@ -135,5 +135,8 @@
 	return b.spent <= b.burst
 }
 
+// earn gives back events that the node's own frames make the peer send.
+func (b *budget) earn(events float64) { b.spent = max(0, b.spent-events) }
+
 // code returns the reason for closing the connection when the budget is exhausted.
 func (b *budget) code() string { return fmt.Sprintf("flood-%s", b.name) }
--- a/internal/h2/stream.go
+++ b/internal/h2/stream.go
@@ -85,7 +85,7 @@
 		b.selfDependent = binary.BigEndian.Uint32(p)&maxUint31 == h.stream
 		p = p[5:]
 	}
-	if c.streams[h.stream] == nil && h.stream <= c.highestID {
+	if c.streams[h.stream] == nil && h.stream <= c.highestID && (h.stream > c.forgottenID || c.closed[h.stream] != 0) {
 		if kind := c.closed[h.stream]; kind == completed || kind == 0 {
 			c.handleStrayFrame(h, true)
 			return
@@ -98,15 +98,56 @@
 // handleFragment appends a fragment to the header block and decodes the block once it is complete.
 func (c *Conn) handleFragment(h frameHeader, p []byte) {
 	b := c.block
-	if len(b.buf)+len(p) > maxBlockBytes || b.continuations > maxContinuations {
-		c.fail(EnhanceYourCalm, "flood-continuation")
+	if !c.undecoded && (len(b.buf)+len(p) > maxBlockBytes || b.continuations > maxContinuations) {
+		c.dropBlock(EnhanceYourCalm, "flood-continuation")
+	} else if c.undecoded {
+		c.readAfter = max(c.readAfter, c.now) + excessPauseMs
+	}
+	if c.closeCode != "" {
 		return
 	}
-	b.buf = append(b.buf, p...)
+	if !c.undecoded {
+		b.buf = append(b.buf, p...)
+	}
 	if !h.has(flagEndHeaders) {
 		return
 	}
 	c.block = nil
+	if c.undecoded {
+		c.handleUndecoded(b)
+		return
+	}
+	c.decodeBlock(b)
+}
+
+// dropBlock gives up a header block that is too long or too slow. Later blocks can't be decoded without it, so the connection
+// is wound down.
+func (c *Conn) dropBlock(e ErrCode, code string) {
+	c.windDown(e, code)
+	c.undecoded, c.block.buf = true, nil
+}
+
+// handleUndecoded processes the end of a header block that was not decoded: it opens no stream, and as trailers it only ends
+// one.
+func (c *Conn) handleUndecoded(b *headerBlock) {
+	switch s := c.streams[b.stream]; {
+	case s == nil && b.stream <= c.highestID:
+		c.spend(&c.strays)
+	case s == nil:
+		c.highestID = b.stream
+		c.resetStream(b.stream, RefusedStream)
+		c.spend(&c.refusals)
+	case s.requestComplete:
+		c.resetStream(s.id, StreamClosed)
+	case !b.endStream:
+		c.resetStream(s.id, ProtocolError)
+	default:
+		c.completeRequest(s)
+	}
+}
+
+// decodeBlock decodes a complete header block.
+func (c *Conn) decodeBlock(b *headerBlock) {
 	r := newRequest()
 	expanded := 0
 	c.dec.SetEmitFunc(func(f hpack.HeaderField) {
@@ -123,7 +164,9 @@
 	case err != nil:
 		c.fail(CompressionError, "bad-hpack")
 	case expanded > maxExpandedBytes:
-		c.fail(EnhanceYourCalm, "flood-hpack")
+		if c.windDown(EnhanceYourCalm, "flood-hpack"); c.closeCode == "" {
+			c.handleUndecoded(b)
+		}
 	default:
 		c.handleFieldList(b, r)
 	}
@@ -149,9 +192,8 @@
 	}
 	c.highestID = b.stream
 	if c.finalGoAway || uint32(len(c.streams)) >= c.maxOpenStreams() {
-		if c.spend(&c.refusals) {
-			c.resetStream(b.stream, RefusedStream) // the peer may retry: the request was not processed
-		}
+		c.resetStream(b.stream, RefusedStream) // the peer may retry: the request was not processed
+		c.spend(&c.refusals)
 		return
 	}
 	r.checkPseudoFields()
@@ -166,9 +208,8 @@
 	c.streams[s.id] = s
 	c.incomplete++
 	if r.malformed != "" || b.selfDependent {
-		if c.spend(&c.faults) {
-			c.resetStream(s.id, ProtocolError)
-		}
+		c.resetStream(s.id, ProtocolError)
+		c.spend(&c.faults)
 		return
 	}
 	if r.expectContinue && !b.endStream {
@@ -204,9 +245,8 @@
 	s.req, s.body = nil, nil
 	c.shrinkReservation(s, m)
 	if m.Request == nil && !c.admitSmall() {
-		if c.spend(&c.refusals) {
-			c.resetStream(s.id, RefusedStream)
-		}
+		c.resetStream(s.id, RefusedStream)
+		c.spend(&c.refusals)
 		return
 	}
 	if m.Fault != nil {
--- a/internal/h2/write.go
+++ b/internal/h2/write.go
@@ -1,6 +1,7 @@
 package h2
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -102,7 +103,7 @@
 	b = append(b, c.control...) // resets of streams whose answer came too late
 	c.control = c.control[:0]
 	if c.finalGoAway && len(c.streams) == 0 && len(c.events) == 0 && c.closeCode == "" {
-		c.closeCode, c.linger = "close", true
+		c.closeCode, c.linger = cmp.Or(c.endCode, "close"), true
 	}
 	return b
 }
@@ -139,6 +140,8 @@
 		c.blocked = append(c.blocked, s)
 		return b
 	}
+	c.updates.earn(updatesPerData)
+	c.strays.earn(straysPerData)
 	s.sendWindow -= int64(n)
 	c.sendWindow -= int64(n)
 	flags := byte(0)
@@ -206,6 +209,9 @@
 		return
 	}
 	c.draining, c.pingDeadline = true, c.now+drainPingTimeoutMs
+	if c.finalGoAway {
+		return // the last id of a GOAWAY frame must not rise
+	}
 	c.control = appendGoAway(c.control, maxUint31, NoError, "")
 	c.control = append(appendFrameHeader(c.control, 8, framePing, 0, 0), drainPingData...)
 }
@@ -229,7 +235,7 @@
 	if !c.settingsRead {
 		sooner(c.acceptedAt + handshakeTimeoutMs)
 	}
-	if c.block != nil {
+	if c.block != nil && !c.undecoded {
 		sooner(c.block.startedAt + requestTimeoutMs)
 	}
 	if c.ackDeadline > 0 {
@@ -273,12 +279,11 @@
 			c.fail(ProtocolError, "slow")
 		}
 		return
-	case c.block != nil && c.now >= c.block.startedAt+requestTimeoutMs:
-		c.fail(EnhanceYourCalm, "slow")
-		return
+	case c.block != nil && !c.undecoded && c.now >= c.block.startedAt+requestTimeoutMs:
+		c.dropBlock(EnhanceYourCalm, "slow")
 	case c.ackDeadline > 0 && c.now >= c.ackDeadline:
-		c.fail(SettingsTimeout, "settings-timeout")
-		return
+		c.ackDeadline = 0
+		c.windDown(SettingsTimeout, "settings-timeout")
 	case c.draining && !c.finalGoAway && c.now >= c.pingDeadline:
 		c.sendFinalGoAway()
 	case len(c.streams) == 0 && c.now >= c.idleDeadline(idle):
--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -298,6 +298,13 @@
 			}
 			continue
 		}
+		if until := k.proto.ReadAfter(); until > clock.Now() {
+			if k.pauseReading(until) {
+				return k.proto.PeerCloseReason(true)
+			}
+			k.proto.HandleDeadline(clock.Now(), idle)
+			continue
+		}
 		n, err := k.c.Read(buf)
 		if err == nil {
 			k.lateReads = 0
--- a/internal/node/link.go
+++ b/internal/node/link.go
@@ -134,6 +134,7 @@
 	l.c = c
 	out = append(out, l.state.StartConnection()...)
 	l.mu.Unlock()
+	badNotices := 0
 	redialAt, detachBy := 0.0, 0.0 // when to dial the new address again; when the detach times out
 	for {
 		if next == nil && l.currentAddr() != c.addr && clock.Now() >= redialAt {
@@ -166,16 +167,22 @@
 		n, err := c.Read(buf)
 		l.mu.Lock()
 		inputs, reply, feedErr := l.state.Feed(buf[:n])
+		bound := l.state.Bound()
 		l.mu.Unlock()
 		for _, i := range inputs {
 			l.node.submit(i)
 		}
 		out = append(out, reply...)
+		if feedErr != nil {
+			if badNotices++; badNotices == 1 {
+				l.node.log("link", "pool", c.addr, "code", "bad-notice", "error", feedErr)
+			}
+		}
 		switch {
 		case l.node.hasEnded():
 			l.writeLast(c, out)
 			return "end", next
-		case feedErr != nil:
+		case feedErr != nil && !bound:
 			return "bad-notice", next
 		case err != nil && !errors.Is(err, os.ErrDeadlineExceeded):
 			return "eof", next
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/base64"
 	"errors"
 	"fmt"
@@ -38,6 +39,7 @@
 
 	parser   fastjson.Parser
 	in       []byte    // received bytes of an incomplete line
+	skipping bool      // the rest of a line that is too long is dropped
 	serial   uint64    // serial number of the last notice read
 	fences   int       // number of fence and leave polls sent
 	fence    string    // cookie of the poll whose answer is awaited; empty when synchronized
@@ -70,7 +72,7 @@
 
 // StartConnection resets the link for a new connection and returns the first bytes to send on it.
 func (l *Link) StartConnection() []byte {
-	l.in = l.in[:0]
+	l.in, l.skipping = l.in[:0], false
 	l.fence, l.detached = notBound, false
 	return fmt.Appendf(nil, `{"msg":"bind","serial":%d}`+"\n", l.serial)
 }
@@ -161,8 +163,12 @@
 // ErrLineTooLong is returned for an incomplete line longer than the limit of a notice.
 var ErrLineTooLong = errors.New("notice too long")
 
-// Feed processes received bytes. It returns the inputs for the core and bytes to send at once. After an error the
-// connection must be closed.
+// Bound reports whether the worker pool has answered the bind on the current connection.
+func (l *Link) Bound() bool { return l.fence != notBound }
+
+// Feed processes received bytes. It returns the inputs for the core and bytes to send at once. A line that is no notice is
+// passed over, because the notices after it concern other runs; err is the reason of the last one. If the link is not bound
+// yet, the connection must be closed after an error.
 func (l *Link) Feed(p []byte) (inputs []core.Input, reply []byte, err error) {
 	l.in = append(l.in, p...)
 	for {
@@ -170,19 +176,31 @@
 		if !ok {
 			break
 		}
-		if len(line) > 0 {
-			v, err := l.parser.ParseBytes(line)
-			if err != nil {
-				return inputs, reply, fmt.Errorf("notice: %w", err)
-			}
-			i, r := l.notice(v)
+		if len(line) > 0 && !l.skipping {
+			i, r, lineErr := l.feedLine(line)
 			inputs, reply = append(inputs, i...), append(reply, r...)
+			err = cmp.Or(lineErr, err)
 		}
+		l.skipping = false
 		l.in = l.in[:copy(l.in, rest)]
 	}
 	if len(l.in) > maxLineBytes {
-		return inputs, reply, ErrLineTooLong
+		err = ErrLineTooLong
+		l.skipping = true
+	}
+	if l.skipping {
+		l.in = l.in[:0]
+	}
+	return inputs, reply, err
+}
+
+// feedLine processes one line.
+func (l *Link) feedLine(line []byte) (inputs []core.Input, reply []byte, err error) {
+	v, err := l.parser.ParseBytes(line)
+	if err != nil {
+		return nil, nil, fmt.Errorf("notice: %w", err)
 	}
+	inputs, reply = l.notice(v)
 	return inputs, reply, nil
 }
 
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 
 	"whinrudder/internal/core"
@@ -43,3 +45,28 @@
 	}
 	t.Error("the link was not synchronized")
 }
+
+// Guards against runs that are lost because the notice of another one can't be read: the link passes over that line, of whatever
+// length, and goes on. Ending the link would not help, because the worker pool repeats the line on the next connection.
+func TestUnreadableNoticesArePassedOver(t *testing.T) {
+	l := New([]string{"status"}, nil)
+	l.StartConnection()
+	feed := func(text string) (inputs []core.Input, failed bool) {
+		for _, piece := range slices.Collect(slices.Chunk([]byte(text), 4096)) {
+			i, _, err := l.Feed(piece)
+			inputs, failed = append(inputs, i...), failed || err != nil
+		}
+		return inputs, failed
+	}
+	if _, failed := feed("HTTP/1.1 400 Bad Request\n"); !failed || l.Bound() {
+		t.Error("a link that is not bound accepts another protocol")
+	}
+	feed(`{"msg":"bound","how":"WARM","duration":5}` + "\n" + `{"msg":"polled","cookie":"fence1","stats":[]}` + "\n")
+	const finished = `{"msg":"finished","serial":%d,"call":"a","how":"OK","duration":3,"blob":"%s"}` + "\n"
+	for i, bad := range []string{"{\n", strings.Repeat("x", 5*maxLineBytes) + "\n", fmt.Sprintf(finished, 9, strings.Repeat("b", 2*maxLineBytes))} {
+		inputs, failed := feed(bad + fmt.Sprintf(finished, i+1, "b2s="))
+		if !failed || len(inputs) != 1 {
+			t.Errorf("line %d: got inputs %v and failed %t, want the end of the run after it and an error", i, inputs, failed)
+		}
+	}
+}
