Drop what is kept under the index of a class when another class gets it

Cause: the core keeps results of reads by class index and key; a reload that assigned the index anew did not drop them, and a lower fresh_ms did not hold for them. A prior that was under way and runs that lasted had the same fault. Change: a reload drops the results of reassigned indices and limits the age of the others; priors are checked by name; an index with a request or run in progress is not given away, which the core is asked for at each reload.

--- a/internal/classindex/classindex.go
+++ b/internal/classindex/classindex.go
@@ -1,7 +1,6 @@
 // Package classindex assigns indices to the classes of requests while reloaded settings add and remove classes under
 // load. A class keeps its index while it is in the settings. The index of a removed class stays reserved for the
-// requests in progress, and is reused for another class only when no request of the old class can be in progress any
-// more. The package does no I/O and has no clock. Times are in milliseconds.
+// requests in progress, and is reused for another class only when no request of the old class is in progress any more. The package does no I/O and has no clock. Times are in milliseconds.
 package classindex
 
 import (
@@ -16,7 +15,7 @@
 const MaxIndices = 128
 
 // indexReuseDelayMs is how long the index of a removed class stays reserved beyond the class's deadline. Requests that
-// were read before the removal are in progress for at most that long, and so is what the node knows about their runs.
+// were read before the removal have reached the core by then.
 const indexReuseDelayMs = 15e3
 
 // Allocator assigns indices to classes. Its slices are indexed by them.
@@ -51,9 +50,9 @@
 	return v
 }
 
-// Update applies the classes of new settings at time now. It returns an error, and changes nothing, if the indices run
+// Update applies the classes of new settings at time now. The indices in inUse are not reused. It returns an error, and changes nothing, if the indices run
 // out.
-func (a *Allocator) Update(s settings.Settings, now float64) (View, error) {
+func (a *Allocator) Update(s settings.Settings, now float64, inUse map[int]bool) (View, error) {
 	next := Allocator{slices.Clone(a.names), slices.Clone(a.classes), slices.Clone(a.reusableAt)}
 	var added []int
 	// A class whose Repeat has changed counts as another class: the requests in progress keep the old value.
@@ -77,7 +76,7 @@
 	for i, n := range s.ClassNames {
 		index := find(n, s.Policy.Classes[i])
 		if index < 0 {
-			index = slices.IndexFunc(next.reusableAt, func(t float64) bool { return t > 0 && t <= now })
+			index = next.reusableIndex(now, inUse)
 			if index < 0 {
 				index = len(next.names)
 				next.names, next.classes = append(next.names, ""), append(next.classes, whinrudder.Class{})
@@ -98,3 +97,13 @@
 	v.NewIndices = added
 	return v, nil
 }
+
+// reusableIndex returns the index of a removed class that another one may get, or -1.
+func (a *Allocator) reusableIndex(now float64, inUse map[int]bool) int {
+	for i, t := range a.reusableAt {
+		if t > 0 && t <= now && !inUse[i] {
+			return i
+		}
+	}
+	return -1
+}
--- a/internal/classindex/classindex_test.go
+++ b/internal/classindex/classindex_test.go
@@ -41,7 +41,7 @@
 		{18000, makeSettings("p"), map[string]int{"p": 2}, nil},
 		{18001, makeSettings("y", "p"), map[string]int{"y": 4, "p": 2}, nil}, // y returns to its old index
 	} {
-		v, err := a.Update(step.s, step.now)
+		v, err := a.Update(step.s, step.now, nil)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -56,7 +56,7 @@
 	// the new one not.
 	s := makeSettings("y", "p")
 	s.Policy.Classes[0].Repeat = whinrudder.Unsafe
-	v, _ := a.Update(s, 18002)
+	v, _ := a.Update(s, 18002, nil)
 	if index := v.Active["y"]; index == 4 || v.Settings.Classes[4].Repeat != whinrudder.Safe ||
 		v.Settings.Classes[index].Repeat != whinrudder.Unsafe {
 		t.Errorf("y has index %d in %+v, want a new index for the unsafe class and 4 still safe", index,
@@ -64,13 +64,28 @@
 	}
 }
 
+// Guards against a request that goes to the worker pool under the name of another class, or is stopped by that class's rules: an
+// index is not given away while a request of the removed class is in progress, however long that lasts.
+func TestIndexInUseIsNotReused(t *testing.T) {
+	a := New(makeSettings("a", "b"))
+	a.Update(makeSettings("b"), 0, nil)
+	v, err := a.Update(makeSettings("b", "c"), 1e6, map[int]bool{0: true})
+	if err != nil || v.Active["c"] != 2 {
+		t.Errorf("got %v and error %v, want a new index for c", v.Active, err)
+	}
+	v, err = a.Update(makeSettings("b", "c", "d"), 1e6, nil)
+	if err != nil || v.Active["d"] != 0 {
+		t.Errorf("got %v and error %v, want the index 0 for d", v.Active, err)
+	}
+}
+
 func TestIndicesAreBounded(t *testing.T) {
 	a := New(makeSettings("a"))
 	n, refused := 0, 0
 	for now := 0.0; now < 200e3; now += 100 {
 		n++
 		before := a.View(whinrudder.Settings{})
-		if _, err := a.Update(makeSettings("a", fmt.Sprint("c", n)), now); err != nil {
+		if _, err := a.Update(makeSettings("a", fmt.Sprint("c", n)), now, nil); err != nil {
 			refused++
 			if diff := cmp.Diff(before, a.View(whinrudder.Settings{})); diff != "" {
 				t.Fatal("a refused update changed the assignment: ", diff)
@@ -99,7 +114,7 @@
 		for range rapid.IntRange(1, 30).Draw(t, "changes") {
 			now += rapid.Float64Range(0, 30e3).Draw(t, "pause")
 			s = pick()
-			w, err := a.Update(s, now)
+			w, err := a.Update(s, now, nil)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -55,9 +55,10 @@
 
 // Core holds the request state of one node. Create it with New.
 type Core struct {
-	settings whinrudder.Settings
-	seed     uint64
-	policy   *whinrudder.Policy // nil until the worker pool is up
+	settings   whinrudder.Settings
+	classNames []string // by class index, as of the last reload
+	seed       uint64
+	policy     *whinrudder.Policy // nil until the worker pool is up
 
 	now     float64
 	events  []whinrudder.Event  // for the next step of the module
@@ -318,6 +319,8 @@
 		c.keys.maxBytes = i.ResultBytes
 	case ChangeSettings:
 		c.changeSettings(i)
+	case QueryClassesInUse:
+		i.Reply(c.classesInUse())
 	case YieldOps:
 		c.setYieldOps(i.On)
 	case AdoptOps:
--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -5,9 +5,11 @@
 // keyEntry is one kept key: the request that holds it, its result once it has ended, and the requests that wait for it.
 type keyEntry struct {
 	id           string
+	class        int
 	key          string
 	until        float64 // end of the module's Keep; once the run has ended, end of the result's freshness
 	ended        bool
+	endedAt      float64
 	result       []byte
 	waiting      []string // ids of the waiting requests; some may have ended meanwhile
 	waitingCount int      // how many of them still wait
@@ -71,7 +73,7 @@
 		if len(t.byID) >= maxKeyEntries || t.bytes+keyEntryBytes+len(k) > t.maxBytes {
 			return
 		}
-		e = &keyEntry{id: req.ID, key: k}
+		e = &keyEntry{id: req.ID, class: req.Class, key: k}
 		t.bytes += e.size()
 	}
 	e.until = until
@@ -100,6 +102,27 @@
 	return e
 }
 
+// dropClass removes the entries of a class, because its index goes to another one.
+func (t *keyTable) dropClass(class int, serve func(id string, ok bool, result []byte)) {
+	for id, e := range t.byID {
+		if e.class == class {
+			t.forget(id, serve)
+		}
+	}
+}
+
+// limitAge makes results serve for no longer than a time since the end of their run.
+func (t *keyTable) limitAge(now, fresh float64) {
+	for id, e := range t.byID {
+		if !e.ended {
+			continue
+		}
+		if e.until = min(e.until, e.endedAt+fresh); e.until <= now {
+			t.remove(id)
+		}
+	}
+}
+
 // forget removes an entry. If its run has not ended, its request was dropped before it ran, so the requests that wait
 // for its answer fail: otherwise they would wait until their due time for an answer that can't come.
 func (t *keyTable) forget(id string, serve func(id string, ok bool, result []byte)) {
@@ -161,7 +184,7 @@
 	if e == nil {
 		return
 	}
-	e.ended, e.until = true, now+fresh
+	e.ended, e.endedAt, e.until = true, now, now+fresh
 	if !ok {
 		t.remove(id) // a failure is not reused later
 		t.serveWaiting(e, serve)
--- a/internal/core/learn.go
+++ b/internal/core/learn.go
@@ -24,6 +24,7 @@
 		return
 	}
 	c.pendingPrior = nil
+	p = p.ForClasses(c.classNames)
 	if c.draining {
 		c.logEvent("prior", "code", "leaving", "donors", strings.Join(p.Donors, ","))
 		return
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -139,10 +139,14 @@
 	// ChangeLimits bounds what the core remembers: the ids of ended requests that may have run, and as many of others, and
 	// the size of the results that are kept to serve several requests.
 	ChangeLimits struct{ MaxIDs, ResultBytes int }
+	// QueryClassesInUse asks for the indices of the classes that have a request without an answer, or a run that has not ended.
+	// Reply must not block.
+	QueryClassesInUse struct{ Reply func(inUse map[int]bool) }
 	// ChangeSettings delivers new settings. Classes keep their indices; NewIndices lists those whose learned state is
 	// reset.
 	ChangeSettings struct {
 		Settings    whinrudder.Settings
+		ClassNames  []string // by class index
 		NewIndices  []int
 		Counters    []*counters.Class // by class index
 		KeptClasses map[int]string    // names of the classes whose results are kept, by class index
@@ -168,6 +172,8 @@
 func (ChangeLimits) input()   {}
 func (ChangeSettings) input() {}
 
+func (QueryClassesInUse) input() {}
+
 // An Output is an action that the drivers must carry out immediately.
 type Output interface{ output() }
 
--- a/internal/core/settings.go
+++ b/internal/core/settings.go
@@ -36,9 +36,13 @@
 		c.keptClasses = r.KeptClasses
 	}
 	r.Settings.Classes = c.moduleClasses(r.Settings.Classes)
-	c.settings, c.counters = r.Settings, r.Counters
+	c.settings, c.counters, c.classNames = r.Settings, r.Counters, r.ClassNames
 	c.recentIDs.setLongestWait(longestWait(c.settings.Classes))
 	c.wakeups.setHorizon(longestWait(c.settings.Classes))
+	c.keys.limitAge(c.now, c.settings.Fresh)
+	for _, i := range r.NewIndices {
+		c.keys.dropClass(i, c.answerRepeat)
+	}
 	if c.policy == nil {
 		return
 	}
@@ -49,3 +53,12 @@
 		c.priorValidator.DropClass(i)
 	}
 }
+
+// classesInUse returns the classes of the requests that have no answer or whose run has not ended.
+func (c *Core) classesInUse() map[int]bool {
+	inUse := map[int]bool{}
+	for _, r := range c.requests {
+		inUse[r.Class] = true
+	}
+	return inUse
+}
--- a/internal/knowledge/merge.go
+++ b/internal/knowledge/merge.go
@@ -62,6 +62,18 @@
 	Trust                TrustParams
 }
 
+// ForClasses returns the prior without what it holds of classes whose index has another name by now. Indices beyond the names
+// stay as they are.
+func (p Prior) ForClasses(names []string) Prior {
+	p.Classes = slices.Clone(p.Classes)
+	for i := range min(len(names), len(p.ClassNames), len(p.Classes)) {
+		if names[i] != p.ClassNames[i] {
+			p.Classes[i] = whinrudder.ClassKnowledge{}
+		}
+	}
+	return p
+}
+
 // Empty reports whether the prior holds no class, limit or call latency that has weight.
 func (p Prior) Empty() bool {
 	for _, c := range p.Classes {
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"errors"
 	"os"
 	"reflect"
 	"strings"
@@ -45,7 +46,11 @@
 	if _, err := n.op.KeptClassNames(cfg); err != nil {
 		return err
 	}
-	view, err := n.allocator.Update(cfg.Settings, clock.Now())
+	inUse, err := n.classesInUse()
+	if err != nil {
+		return err
+	}
+	view, err := n.allocator.Update(cfg.Settings, clock.Now(), inUse)
 	if err != nil {
 		return err
 	}
@@ -75,6 +80,21 @@
 	return nil
 }
 
+// errEnded is the reason why a node that ends takes no new configuration.
+var errEnded = errors.New("the node ends")
+
+// classesInUse asks the core for the classes that have requests in progress.
+func (n *Node) classesInUse() (map[int]bool, error) {
+	reply := make(chan map[int]bool, 1)
+	n.submit(core.QueryClassesInUse{Reply: func(inUse map[int]bool) { reply <- inUse }})
+	select {
+	case inUse := <-reply:
+		return inUse, nil
+	case <-n.done:
+		return nil, errEnded
+	}
+}
+
 // applySettings applies new settings: first to the link, which must know a class before a run of it is queued,
 // then to the core, which must know it before a request of it arrives, and last to the fronts.
 func (n *Node) applySettings(v classindex.View, gauges []string) {
@@ -89,7 +109,7 @@
 		names[v.Active[k]] = k
 	}
 	t := n.validatorConfig(v, names)
-	n.submit(core.ChangeSettings{Settings: v.Settings, NewIndices: v.NewIndices, Counters: n.counters.Classes(v.Names),
+	n.submit(core.ChangeSettings{Settings: v.Settings, ClassNames: v.Names, NewIndices: v.NewIndices, Counters: n.counters.Classes(v.Names),
 		KeptClasses: t.KeptClasses})
 	n.validator.SetConfig(t)
 }
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -22,6 +22,9 @@
 // Queued reports whether the entry is in a heap.
 func (e *HeapEntry[T]) Queued() bool { return e.pos > 0 }
 
+// Time returns the time of an entry that is in a heap.
+func (e *HeapEntry[T]) Time() float64 { return e.time }
+
 // Heap is a priority queue of entries by time, the earliest first. Entries with the same time are in the order in which
 // they were set. Set, Remove and Pop take time logarithmic in the number of entries.
 type Heap[T any] struct {
--- a/ops_test.go
+++ b/ops_test.go
@@ -113,3 +113,29 @@
 		t.Errorf("got %v, want no runs of the first class", k)
 	}
 }
+
+// Guards against memory that counts as used for results that no longer serve anyone (review/8): after a shorter Fresh, and after
+// the index of a class goes to another one, kept reads are forgotten by the new settings.
+func TestReconfigureLimitsKeptReads(t *testing.T) {
+	for name, change := range map[string]func(p *Policy, s Settings){
+		"shorter": func(p *Policy, s Settings) { s.Fresh = 1; p.Reconfigure(s) },
+		"dropped": func(p *Policy, s Settings) { p.Reconfigure(s, 0) },
+		"same":    func(p *Policy, s Settings) { p.Reconfigure(s) },
+	} {
+		p := newTestPolicy(t)
+		s := p.cfg
+		s.Fresh = 60000
+		p.Reconfigure(s)
+		p.Step(0, nil, nil)
+		p.Step(10, []Event{Arrival{ID: "a", Caller: 1, MemoryKB: 10, Due: 1000, Key: "k"}}, nil)
+		p.Step(110, []Event{Ended{ID: "a", Code: OK, Latency: 100}}, nil)
+		if p.keyHeap.Len() != 1 {
+			t.Fatalf("%d reads are kept, want 1", p.keyHeap.Len())
+		}
+		change(p, s)
+		p.Step(2000, nil, nil)
+		if got, want := p.keyHeap.Len(), map[string]int{"same": 1}[name]; got != want {
+			t.Errorf("%s: %d reads are kept, want %d", name, got, want)
+		}
+	}
+}
--- a/policy.go
+++ b/policy.go
@@ -281,6 +281,7 @@
 	for _, i := range fresh {
 		p.classes[i] = classStats{}
 	}
+	p.limitKeptReads(fresh)
 	p.quotaTokens = p.quotaTokens[:min(len(p.quotaTokens), len(s.Tenants))]
 	for i := len(p.quotaTokens); i < len(s.Tenants); i++ {
 		p.quotaTokens = append(p.quotaTokens, quotaBurstSeconds*p.quotaRate(i))
@@ -561,6 +562,23 @@
 	p.emit(Keep{r.ID, end - p.now})
 }
 
+// limitKeptReads applies new settings to the reads in the key table: a shorter freshness holds for them as
+// well, and those of the given classes are no longer kept.
+func (p *Policy) limitKeptReads(dropped []int) {
+	for _, r := range p.requests {
+		if !r.keyEntry.Queued() || p.cfg.Classes[r.Class].Repeat != Safe {
+			continue
+		}
+		end := r.due + p.cfg.Fresh
+		if slices.Contains(dropped, r.Class) {
+			end = p.now
+		}
+		if end < r.keyEntry.Time() {
+			p.keyHeap.Set(&r.keyEntry, end)
+		}
+	}
+}
+
 // answer emits the final answer of a request, unless it is settled, and finishes it if nothing of it is in
 // progress.
 func (p *Policy) answer(r *request, action Action) {
