Tell h2c connections that open during a drain that they will end

Cause: the notice of the drain goes to the connections that are there; later ones were never told. Change: the table of connections hands the notice to those that it adds, and Protocol.EndDrain sends the final GOAWAY at the end of the node.

--- a/internal/front/protocol.go
+++ b/internal/front/protocol.go
@@ -21,6 +21,8 @@
 	HasUnsentAnswer() bool
 	// StartDrain announces to the peer that the node accepts no more requests.
 	StartDrain(now float64)
+	// EndDrain announces to the peer that the node ends: what it has not read by now will not be answered.
+	EndDrain(now float64)
 	// NextDeadline returns the time at which HandleDeadline must be called if no bytes arrive before, or 0 if there is
 	// no deadline. idle is the time limit of a connection without messages in progress.
 	NextDeadline(idle float64) float64
@@ -158,6 +160,9 @@
 // StartDrain implements Protocol. It does nothing: the peer learns from an answer that the node drains.
 func (s *SerialConn) StartDrain(float64) {}
 
+// EndDrain implements Protocol. It does nothing: the peer's requests that were not read end with the connection.
+func (s *SerialConn) EndDrain(float64) {}
+
 // NextDeadline implements Protocol. There is no deadline while a message is in progress.
 func (s *SerialConn) NextDeadline(idle float64) float64 {
 	switch {
--- a/internal/h2/write.go
+++ b/internal/h2/write.go
@@ -216,6 +216,15 @@
 	c.control = append(appendFrameHeader(c.control, 8, framePing, 0, 0), drainPingData...)
 }
 
+// EndDrain implements front.Protocol. It does not wait for the PING of StartDrain.
+func (c *Conn) EndDrain(now float64) {
+	c.now = max(c.now, now)
+	if c.closeCode == "" {
+		c.draining = true
+		c.sendFinalGoAway()
+	}
+}
+
 // sendFinalGoAway sends the GOAWAY frame with the last accepted id; later streams are refused.
 func (c *Conn) sendFinalGoAway() {
 	if !c.finalGoAway {
--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -89,6 +89,7 @@
 	deadlineChanged bool // another goroutine has set the read deadline
 
 	busy          bool       // the connection table knows that a message is pending or an answer unsent
+	endAnnounced  bool       // the protocol knows that the node ends
 	lookedLast    bool       // what arrived before the end of the node was read
 	lateReads     int        // reads after a deadline of the protocol, since the last one in time
 	readDeadline  float64    // the deadline that was set last, in Unix milliseconds; -1 if it has expired
@@ -162,7 +163,7 @@
 func (k *conn) hasWork() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return len(k.mailbox) > 0 || k.draining && !k.drainStarted
+	return len(k.mailbox) > 0 || k.draining && !k.drainStarted || k.nodeEnded && !k.endAnnounced
 }
 
 // canEnd reports whether the node has ended and all messages are answered, with no part of an answer left to send.
@@ -194,12 +195,16 @@
 func (k *conn) processMailbox(t float64) {
 	k.mu.Lock()
 	k.mailbox, k.deliveries = k.deliveries[:0], k.mailbox
-	startDrain := k.draining && !k.drainStarted
+	startDrain, endDrain := k.draining && !k.drainStarted, k.nodeEnded && !k.endAnnounced
 	k.mu.Unlock()
 	if startDrain {
 		k.drainStarted = true
 		k.proto.StartDrain(t)
 	}
+	if endDrain {
+		k.endAnnounced = true
+		k.proto.EndDrain(t)
+	}
 	for i, l := range k.deliveries {
 		if k.writeDeadline == 0 || l.answer.WriteDeadline < k.writeDeadline {
 			k.writeDeadline = l.answer.WriteDeadline
@@ -474,6 +479,7 @@
 	budget   *memory.Budget // shared with the protocols of the connections
 	mu       sync.Mutex     // guards the fields below and the state of each conn
 	maxConns int
+	draining bool // connections are told so from the start
 	conns    map[*conn]bool
 	removed  sync.Cond // broadcast when a connection is removed
 }
@@ -497,6 +503,7 @@
 		t.removed.Wait()
 	}
 	t.conns[k] = true
+	k.draining = t.draining
 	return true
 }
 
@@ -556,8 +563,11 @@
 	t.removed.Broadcast()
 }
 
-// drainAll notifies all connections that the node accepts no more requests.
+// drainAll notifies all connections, also those that are added later, that the node accepts no more requests.
 func (t *connTable) drainAll() {
+	t.mu.Lock()
+	t.draining = true
+	t.mu.Unlock()
 	t.each((*conn).startDrain)
 }
 
--- a/internal/node/upgrade.go
+++ b/internal/node/upgrade.go
@@ -114,7 +114,7 @@
 		}
 	}
 	n.mu.Unlock()
-	n.conns.drainAll()
+	n.conns.each((*conn).startDrain)
 }
 
 // waitForSuccessor waits while a successor accepts the new connections. It returns false if the listener is
