--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -80,6 +80,7 @@
 // stopAccepting makes the accept loops take the connections that are pending and close the listeners.
 func (n *Node) stopAccepting() {
 	n.stoppingAccept.Store(true)
+	n.conns.stop()
 	for _, l := range n.listeners {
 		if t, ok := l.(*net.TCPListener); ok {
 			t.SetDeadline(clock.Expired())
