Let the new process of an upgrade decide which process runs an id

Callers saw: a booking whose caller left and sent the id again ran at both processes of an upgrade: 11 of 42,317 ids. Cause: the processes told each other the ids that they had read every 50 ms, and the new one accepted connections before it had the last ones. Change: the old process passes on all ids before it yields, the new one accepts connections after that, and what the old one reads from then on waits until the new one has granted its id.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -46,6 +46,7 @@
 	opKey         string // key of that operation
 	repeatOf      string // id of the request that it repeats, which the module knows
 	intentPending bool   // its run waits until the intent is durable
+	claimPending  bool   // it is held until the other process of the node has answered its claim
 	endPending    bool   // its run has ended, and the answer waits until that is durable
 	maybeRan      bool   // a run was started and is not known to have been moot
 	endReason     endReason
@@ -99,6 +100,8 @@
 	siblingLoad   whinrudder.Beside // load of another process of this node
 	sharingIDs    bool              // ids of new requests are collected for that process
 	unsharedIDs   []string          // collected ids that it has not received yet
+	claiming      bool              // requests are held until that process has answered their claims
+	unclaimedIDs  []string          // ids of the requests of this step that are to be claimed
 
 	pendingPrior   *knowledge.Prior          // waits until the module is created
 	priorValidator *knowledge.PriorValidator // checks the adopted prior against this node's own runs; nil: no prior
@@ -151,6 +154,7 @@
 		c.stepModule()
 		c.releaseOps()
 	}
+	c.emitClaims()
 	c.advanceDrain()
 	return c.out
 }
@@ -314,6 +318,10 @@
 		c.handleQueryLoad(i)
 	case SiblingLoad:
 		c.handleSiblingLoad(i)
+	case ClaimIDs:
+		c.handleClaimIDs(i)
+	case ClaimAnswered:
+		c.handleClaimAnswered(i)
 	case ChangeLimits:
 		c.recentIDs.setMaxIDs(i.MaxIDs)
 		c.keys.maxBytes = i.ResultBytes
@@ -404,7 +412,7 @@
 		return
 	}
 	c.requests[req.ID] = r
-	if c.sharingIDs && len(c.unsharedIDs) < maxUnsharedIDs {
+	if c.sharingIDs && !c.claiming && len(c.unsharedIDs) < maxUnsharedIDs {
 		c.unsharedIDs = append(c.unsharedIDs, req.ID)
 	}
 	c.openCount++
@@ -420,6 +428,16 @@
 		c.answer(r, Answer{Outcome: Refused})
 		return
 	}
+	if c.claiming {
+		c.holdForClaim(r)
+		return
+	}
+	c.admit(r)
+}
+
+// admit passes an open request to the module, or answers it if its operation can't be run.
+func (c *Core) admit(r *request) {
+	req, class := r.Request, c.settings.Classes[r.Class]
 	if req.Token != "" && c.keepsResults(req.Class) && !c.beginOp(r) {
 		return
 	}
--- a/internal/core/kept.go
+++ b/internal/core/kept.go
@@ -149,6 +149,10 @@
 	if r.endReason = reason; r.inDoubt {
 		r.endReason = reasonDoubt
 	}
+	if r.claimPending {
+		c.answer(r, Answer{Outcome: Refused}) // the other process did not answer, and the request never ran
+		return
+	}
 	if !r.hasOp {
 		c.answer(r, Answer{Outcome: Failed})
 		return
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -120,9 +120,11 @@
 	// AdoptPrior delivers what other nodes have learned.
 	AdoptPrior struct{ knowledge.Prior }
 	// QueryLoad asks, on behalf of another process of this node, for the current load and for the ids of the requests
-	// that were read since the last query. Reply must not block. Stop ends the collection of ids.
+	// that were read since the last query. Reply must not block. Stop ends the collection of ids. With Claim, the requests
+	// that are read from then on are held until the other process has answered their claims.
 	QueryLoad struct {
 		Stop  bool
+		Claim bool
 		Reply func(load whinrudder.Beside, ids []string)
 	}
 	// SiblingLoad delivers the load and the request ids of another process of this node.
--- a/internal/core/share.go
+++ b/internal/core/share.go
@@ -15,8 +15,12 @@
 func (c *Core) handleQueryLoad(s QueryLoad) {
 	if s.Stop {
 		c.sharingIDs, c.unsharedIDs = false, nil
+		c.setClaiming(false)
 		return
 	}
+	if s.Claim {
+		c.setClaiming(true)
+	}
 	if !c.sharingIDs {
 		c.sharingIDs = true
 		for _, p := range c.recentIDs.ran.remembered() {
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -12,7 +12,9 @@
 //	       <------------------  welcome (listening sockets), sections of learned state, end
 //	       <----- load ------>  in both directions, every LoadIntervalMs
 //	serving ----------------->                         from here on the successor accepts new connections
-//	       <------------------  yielded                the predecessor accepts none, and may be told to leave
+//	       <------------------  load, yielded          the successor has all IDs; the predecessor may be told to leave
+//	       <------------------  claim                  asks whether requests that the predecessor has read may run
+//	claimed ----------------->
 //	       <------------------  conn (an idle connection), any number
 //
 // Until it receives serving, the predecessor works as before. If the successor is lost, at that time or later, the
@@ -36,6 +38,8 @@
 	kindLoad                          // from either side: its load, IDs of requests that it has read, and the operators' drain
 	kindConn                          // from the predecessor: a connection comes with the frame
 	kindYielded                       // from the predecessor: it accepts no new connections
+	kindClaim                         // from the predecessor: IDs of requests that it would run
+	kindClaimed                       // from the successor: which of them it may run, and which are known already
 )
 
 // Times in milliseconds.
@@ -92,6 +96,41 @@
 	return core.DrainState{On: on, Revision: revision}
 }
 
+// serving is sent by the successor. Earlier versions send an empty map, and answer no claims.
+type serving struct {
+	AnswersClaims bool `cbor:"claims"`
+}
+
+type claim struct {
+	IDs []byte `cbor:"ids"` // concatenated
+}
+
+type claimed struct {
+	Granted []byte `cbor:"granted"` // IDs, concatenated; from now on the successor does not run them
+	Known   []byte `cbor:"known"`   // IDs that the successor has read or may run
+}
+
+// appendIDs appends the IDs that have the usual length.
+func appendIDs(b []byte, ids []string) []byte {
+	for _, id := range ids {
+		if len(id) == idBytes {
+			b = append(b, id...)
+		}
+	}
+	return b
+}
+
+// splitIDs returns concatenated IDs.
+func splitIDs(b []byte) (ids []string, fault *peer.Fault) {
+	if len(b)%idBytes != 0 {
+		return nil, peer.NewFault("bad-ids", "%d bytes of IDs", len(b))
+	}
+	for ; len(b) > 0; b = b[idBytes:] {
+		ids = append(ids, string(b[:idBytes]))
+	}
+	return ids, nil
+}
+
 // Conn describes an idle connection that is handed over.
 type Conn struct {
 	Front  string  `cbor:"front"`
@@ -132,6 +171,10 @@
 	}
 	// ConnReceived means that a connection has arrived.
 	ConnReceived struct{ Conn }
+	// ClaimReceived means that the predecessor asks whether it may run these requests. The caller must call SendClaimed.
+	ClaimReceived struct{ IDs []string }
+	// ClaimAnswered carries the answer to a claim.
+	ClaimAnswered struct{ Granted, Known []string }
 )
 
 func (HelloReceived) event()      {}
@@ -141,6 +184,8 @@
 func (PredecessorYielded) event() {}
 func (LoadReceived) event()       {}
 func (ConnReceived) event()       {}
+func (ClaimReceived) event()      {}
+func (ClaimAnswered) event()      {}
 
 // endpoint is the state that both sides have in common.
 type endpoint struct {
@@ -167,11 +212,7 @@
 	for first := true; first || len(ids) > 0; first = false {
 		n := min(len(ids), maxIDsPerLoad)
 		l := load{InProgress: b.InProgress, MemoryKB: b.MemoryKB, OperatorDrained: drain.On, DrainRevision: drain.Revision}
-		for _, id := range ids[:n] {
-			if len(id) == idBytes {
-				l.IDs = append(l.IDs, id...)
-			}
-		}
+		l.IDs = appendIDs(l.IDs, ids[:n])
 		ids = ids[n:]
 		e.queue(Message{Bytes: peer.AppendValue(nil, kindLoad, l)})
 	}
@@ -190,9 +231,7 @@
 	}
 	e := LoadReceived{Beside: whinrudder.Beside{InProgress: l.InProgress, MemoryKB: l.MemoryKB},
 		Drain: drainState(l.OperatorDrained, l.DrainRevision)}
-	for ; len(l.IDs) > 0; l.IDs = l.IDs[idBytes:] {
-		e.IDs = append(e.IDs, string(l.IDs[:idBytes]))
-	}
+	e.IDs, _ = splitIDs(l.IDs)
 	return e, nil
 }
 
@@ -223,6 +262,8 @@
 	addrs map[string]string
 	phase phase
 	hello hello // as received
+
+	answersClaims bool // the successor answers claims
 }
 
 type phase uint8
@@ -263,7 +304,11 @@
 			p.phase, p.deadline = phaseHelloReceived, now+welcomeTimeoutMs
 			events = append(events, HelloReceived{p.hello.Node})
 		case f.Kind == kindServing && p.phase == phaseWelcomeSent:
-			p.phase, p.deadline = phaseServing, 0
+			var s serving
+			if fault := peer.DecodeValue(f, &s); fault != nil {
+				return events, fault
+			}
+			p.phase, p.deadline, p.answersClaims = phaseServing, 0, s.AnswersClaims
 			events = append(events, SuccessorServing{})
 		case f.Kind == kindLoad && p.phase >= phaseWelcomeSent:
 			e, fault := decodeLoad(f)
@@ -271,12 +316,41 @@
 				return events, fault
 			}
 			events = append(events, e)
+		case f.Kind == kindClaimed && p.phase == phaseServing:
+			e, fault := decodeClaimed(f)
+			if fault != nil {
+				return events, fault
+			}
+			events = append(events, e)
 		default:
 			return events, peer.NewFault("bad-order", "unexpected frame of kind %d", f.Kind)
 		}
 	}
 }
 
+func decodeClaimed(f peer.Frame) (e ClaimAnswered, fault *peer.Fault) {
+	var c claimed
+	if fault := peer.DecodeValue(f, &c); fault != nil {
+		return e, fault
+	}
+	if e.Granted, fault = splitIDs(c.Granted); fault != nil {
+		return e, fault
+	}
+	e.Known, fault = splitIDs(c.Known)
+	return e, fault
+}
+
+// AnswersClaims reports whether the successor serves and answers claims.
+func (p *Predecessor) AnswersClaims() bool { return p.answersClaims }
+
+// SendClaim asks the successor whether this process may run the requests with some IDs.
+func (p *Predecessor) SendClaim(ids []string) {
+	for ; p.answersClaims && len(ids) > 0; ids = ids[min(len(ids), maxIDsPerLoad):] {
+		c := claim{IDs: appendIDs(nil, ids[:min(len(ids), maxIDsPerLoad)])}
+		p.queue(Message{Bytes: peer.AppendValue(nil, kindClaim, c)})
+	}
+}
+
 // SendWelcome hands over the listening sockets of the fronts that have the same address on both sides, and the learned
 // state.
 func (p *Predecessor) SendWelcome(now float64, drain core.DrainState, r knowledge.Report) {
@@ -415,10 +489,25 @@
 			return nil, peer.NewFault("bad-conn", "invalid connection %+v", c)
 		}
 		return ConnReceived{c}, nil
+	case f.Kind == kindClaim && s.serving:
+		var c claim
+		if fault := peer.DecodeValue(f, &c); fault != nil {
+			return nil, fault
+		}
+		ids, fault := splitIDs(c.IDs)
+		if fault != nil {
+			return nil, fault
+		}
+		return ClaimReceived{ids}, nil
 	}
 	return nil, peer.NewFault("bad-order", "unexpected frame of kind %d", f.Kind)
 }
 
+// SendClaimed answers a claim.
+func (s *Successor) SendClaimed(granted, known []string) {
+	s.queue(Message{Bytes: peer.AppendValue(nil, kindClaimed, claimed{appendIDs(nil, granted), appendIDs(nil, known)})})
+}
+
 // Complete reports whether everything needed to serve has arrived.
 func (s *Successor) Complete() bool { return s.complete }
 
@@ -433,7 +522,7 @@
 func (s *Successor) SendServing() {
 	if s.complete && !s.serving {
 		s.serving = true
-		s.queue(Message{Bytes: peer.AppendValue(nil, kindServing, struct{}{})})
+		s.queue(Message{Bytes: peer.AppendValue(nil, kindServing, serving{AnswersClaims: true})})
 	}
 }
 
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -334,6 +334,52 @@
 	})
 }
 
+// Guards against an id that runs at both processes of an upgrade: claims and their answers arrive whole, in any number.
+// A successor of an earlier version, which says nothing of claims, is asked for none.
+func TestClaims(t *testing.T) {
+	addrs := parseAddrs("http=a:1")
+	predecessor, successor := NewPredecessor("n1", addrs, 0), NewSuccessor("n1", addrs, 0)
+	pass := func(from, to machine) (events []Event) {
+		for _, m := range from.Messages() {
+			e, fault := to.Feed(0, m.Bytes)
+			if fault != nil {
+				t.Fatal(fault)
+			}
+			events = append(events, e...)
+		}
+		return events
+	}
+	pass(successor, predecessor)
+	predecessor.SendWelcome(0, core.DrainState{}, sample)
+	pass(predecessor, successor)
+	predecessor.SendClaim([]string{"00000000000000a1"})
+	if got := predecessor.Messages(); len(got) > 0 {
+		t.Errorf("%d messages claim something before the successor serves", len(got))
+	}
+	successor.SendServing()
+	pass(successor, predecessor)
+	var sent, received []string
+	for i := range 2 * maxIDsPerLoad {
+		sent = append(sent, fmt.Sprintf("%016x", i))
+	}
+	predecessor.SendClaim(sent)
+	for _, e := range pass(predecessor, successor) {
+		received = append(received, e.(ClaimReceived).IDs...)
+	}
+	successor.SendClaimed(received[:1], received[1:3])
+	answer := pass(successor, predecessor)
+	want := []Event{ClaimAnswered{Granted: sent[:1], Known: sent[1:3]}}
+	if diff := cmp.Diff(sent, received); diff != "" || !cmp.Equal(want, answer) {
+		t.Errorf("claimed IDs differ: %s; got answer %v, want %v", diff, answer, want)
+	}
+	old := NewPredecessor("n1", addrs, 0)
+	old.Feed(0, peer.AppendValue(nil, kindHello, hello{"n1", addrs}))
+	old.SendWelcome(0, core.DrainState{}, sample)
+	if _, fault := old.Feed(0, peer.AppendValue(nil, kindServing, struct{}{})); fault != nil || old.AnswersClaims() {
+		t.Errorf("a successor that says nothing of claims: fault %v, answers claims %t", fault, old.AnswersClaims())
+	}
+}
+
 func TestGraceMs(t *testing.T) {
 	for longest, want := range map[float64]float64{900: 1500, 3000: 3600, 9300: 3600} {
 		if got := GraceMs([]whinrudder.Class{{Deadline: 100}, {Deadline: longest}}); got != want {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -78,7 +78,7 @@
 	peerAddr        string                                 // address of the peer port
 	listeners       []net.Listener                         // of the fronts
 	listenersByName map[string]net.Listener                // by front name, including "peer"; guarded by mu
-	acceptStarts    []func()                               // start the accept loops of the fronts
+	acceptStarts    []func()                               // start the accept loops of the fronts; guarded by mu
 	addrs           map[string]string                      // listen addresses by front name, including "admin"
 	conns           connTable
 	idleTimeoutMs   atomic.Int64  // how long a connection may be idle
@@ -210,10 +210,13 @@
 
 // startAccepting starts the accept loops of the fronts, unless they are running.
 func (n *Node) startAccepting() {
-	for _, start := range n.acceptStarts {
+	n.mu.Lock()
+	starts := n.acceptStarts
+	n.acceptStarts = nil
+	n.mu.Unlock()
+	for _, start := range starts {
 		start()
 	}
-	n.acceptStarts = nil
 }
 
 // PeerAddr returns the address of the peer port, or "" if it is off.
@@ -350,8 +353,8 @@
 		n.conns.wakeAll()
 	case core.Ready:
 		n.log("ready", "cold", o.Cold)
-		n.startAccepting()
 		n.serving.Store(true)
+		n.acceptAfterYield()
 		n.eachSubsystem(func(s Subsystem) { s.Ready(o.Cold) })
 	case core.DrainStarted:
 		n.accepting.Store(false)
@@ -359,6 +362,8 @@
 		n.log("drain", "stop_ms", n.shutdown.stopMs, "succeeded", n.shutdown.hasSuccessor)
 		by := clock.Now() + n.shutdown.stopMs/2
 		n.eachSubsystem(func(s Subsystem) { s.BeginShutdown(by) })
+	case core.Claim:
+		n.upgrade.Claim(o.IDs)
 	case core.DrainConns:
 		n.conns.drainAll()
 	case core.StopAccepting:
--- a/internal/node/upgrade.go
+++ b/internal/node/upgrade.go
@@ -35,7 +35,7 @@
 	n.upgrade = upgrade.New(upgrade.Host{Name: n.cfg.Name, Dir: n.op.UpgradeDir, ListenAddrs: n.listenAddrs,
 		Submit: n.submit, Log: n.log, CurrentSettings: n.currentSettings, Listeners: n.tcpListeners,
 		OperatorDrain: n.operatorDrain, OperatorDrainReported: n.operatorDrainReported, SuccessorChanged: n.successorChanged,
-		PredecessorEnded: n.predecessorEnded, AdoptConn: n.adoptConn})
+		PredecessorYielded: n.startAccepting, PredecessorEnded: n.predecessorEnded, AdoptConn: n.adoptConn})
 	if n.handoff, err = n.upgrade.TakeOver(); err != nil || n.handoff == nil {
 		return err
 	}
@@ -153,7 +153,25 @@
 }
 
 // predecessorEnded is called when the predecessor process has ended.
-func (n *Node) predecessorEnded() { n.setSharing(false) }
+func (n *Node) predecessorEnded() {
+	n.setSharing(false)
+	if n.serving.Load() {
+		n.startAccepting()
+	}
+}
+
+// yieldTimeoutMs is how long a process that can serve waits for its predecessor to yield before it accepts connections.
+const yieldTimeoutMs = 1000
+
+// acceptAfterYield accepts connections once the predecessor has passed on the IDs of all requests that it has read, so that
+// none of them runs here as well.
+func (n *Node) acceptAfterYield() {
+	if n.handoff == nil || n.upgrade.TakeoverAcknowledged() {
+		n.startAccepting()
+		return
+	}
+	time.AfterFunc(yieldTimeoutMs*time.Millisecond, n.startAccepting)
+}
 
 // handOff hands an idle connection to the successor. It returns true if the connection now belongs to the
 // successor.
--- a/internal/upgrade/predecessor.go
+++ b/internal/upgrade/predecessor.go
@@ -19,6 +19,8 @@
 
 	machine    *handover.Predecessor // guarded by conn.mu
 	sendFailed bool                  // an idle connection could not be handed over; guarded by conn.mu
+	yielded    bool                  // the successor has the IDs of all requests that were read before; guarded by conn.mu
+	claims     *claimQueue
 }
 
 // flush writes the pending messages of the machine.
@@ -40,7 +42,7 @@
 func (p *predecessorSide) handOffConn(c *net.TCPConn, info handover.Conn) bool {
 	p.conn.mu.Lock()
 	defer p.conn.mu.Unlock()
-	if !p.machine.SendConn(info, c) {
+	if !p.yielded || !p.machine.SendConn(info, c) {
 		return false
 	}
 	if err := p.conn.write(p.machine.Messages(), clock.Now()+writeTimeoutMs, p.u.host.Listeners); err != nil {
@@ -65,7 +67,12 @@
 // run serves the successor until the connection ends.
 func (p *predecessorSide) run() {
 	defer p.u.goroutines.Done()
+	over := make(chan struct{})
+	p.u.goroutines.Add(1)
+	go p.sendClaims(over)
 	code, text := p.exchange()
+	close(over)
+	p.u.claimant.CompareAndSwap(p, nil)
 	p.conn.mu.Lock()
 	if p.sendFailed {
 		code = "lost"
@@ -92,7 +99,9 @@
 func (p *predecessorSide) exchange() (code, text string) {
 	query := newLoadQuery()
 	welcomed := false // the load is reported from the welcome on
+	yielding := false // the successor serves, and waits for this process to yield
 	for tick := clock.Now(); ; {
+		yielded := yielding && p.yield(query)
 		if welcomed && clock.Now() >= tick {
 			tick = clock.Now() + handover.LoadIntervalMs
 			if load, ok := query.run(p.u.host.Submit); ok {
@@ -104,6 +113,10 @@
 		if err := p.flush(); err != nil {
 			return endReason(err)
 		}
+		if yielded {
+			yielding = false
+			p.u.host.SuccessorChanged(true)
+		}
 		by := p.machine.WakeAt()
 		if welcomed {
 			by = min(by, tick)
@@ -131,10 +144,9 @@
 				p.successorServing = true
 				p.u.mu.Unlock()
 				p.u.host.Log("handover", "side", "give", "code", "succeeded")
-				p.u.host.SuccessorChanged(true)
-				p.conn.mu.Lock()
-				p.machine.SendYielded()
-				p.conn.mu.Unlock()
+				yielding = true
+			case handover.ClaimAnswered:
+				p.u.host.Submit(core.ClaimAnswered{Granted: e.Granted, Known: e.Known})
 			case handover.LoadReceived:
 				p.u.host.Submit(core.SiblingLoad{Beside: e.Beside, IDs: e.IDs})
 				p.u.host.OperatorDrainReported(e.Drain)
--- a/internal/upgrade/successor.go
+++ b/internal/upgrade/successor.go
@@ -195,6 +195,9 @@
 		s.predecessorYielded = true
 		s.u.mu.Unlock()
 		s.u.host.Log("handover", "side", "take", "code", "settled")
+		s.u.host.PredecessorYielded()
+	case handover.ClaimReceived:
+		s.answerClaim(e)
 	case handover.ConnReceived:
 		f, err := s.conn.nextFile()
 		if err != nil {
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -51,6 +51,9 @@
 	// SuccessorChanged reports that another process accepts new connections from now on or, with on false, that it was
 	// lost.
 	SuccessorChanged func(on bool)
+	// PredecessorYielded reports that the process that this one succeeds has passed on the IDs of all requests that it has
+	// read, and claims those that it reads from now on.
+	PredecessorYielded func()
 	// PredecessorEnded reports that the process that this one succeeds has ended.
 	PredecessorEnded func()
 	// AdoptConn takes over an idle connection of another process. It returns false if that is not possible.
@@ -69,7 +72,8 @@
 	leaving       bool              // BeginShutdown was called
 	goroutines    sync.WaitGroup
 
-	socketTried atomic.Bool // the socket for successors was opened, or could not be
+	claimant    atomic.Pointer[predecessorSide] // sends the claims of this process; nil: it claims nothing
+	socketTried atomic.Bool                     // the socket for successors was opened, or could not be
 }
 
 // New returns the Upgrade of a process.
@@ -157,7 +161,8 @@
 			time.Sleep(time.Until(clock.Time(clock.Now() + acceptRetryMs)))
 			continue
 		}
-		side := &predecessorSide{u: u, conn: newFDConn(c), machine: handover.NewPredecessor(u.host.Name, u.host.ListenAddrs(), clock.Now())}
+		side := &predecessorSide{u: u, conn: newFDConn(c), claims: newClaimQueue(),
+			machine: handover.NewPredecessor(u.host.Name, u.host.ListenAddrs(), clock.Now())}
 		u.mu.Lock()
 		// One successor at a time, and none while the predecessor is running: load is shared with only one other
 		// process.
@@ -221,6 +226,13 @@
 	}
 }
 
+// Claim asks the successor whether this process may run the requests with some IDs. It does not wait.
+func (u *Upgrade) Claim(ids []string) {
+	if side := u.claimant.Load(); side != nil {
+		side.claims.add(ids)
+	}
+}
+
 // Ready is called once this process can serve. It informs the predecessor, and opens the socket for a successor.
 func (u *Upgrade) Ready(bool) {
 	u.mu.Lock()
@@ -296,7 +308,12 @@
 
 // run queries the core. It returns false if the core does not answer in time.
 func (q *loadQuery) run(submit func(core.Input)) (core.SiblingLoad, bool) {
-	submit(core.QueryLoad{Reply: q.reply})
+	return q.runWith(submit, false)
+}
+
+// runWith queries the core; with claim the core claims the requests that it reads after the answer.
+func (q *loadQuery) runWith(submit func(core.Input), claim bool) (core.SiblingLoad, bool) {
+	submit(core.QueryLoad{Claim: claim, Reply: q.reply})
 	timeout := time.NewTimer(time.Until(clock.Time(clock.Now() + queryTimeoutMs)))
 	defer timeout.Stop()
 	select {
--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -91,7 +91,7 @@
 		},
 		CurrentSettings: func() ([]string, whinrudder.Settings) { return []string{"a"}, whinrudder.Settings{Cores: 2} },
 		Listeners:       func() map[string]*net.TCPListener { return map[string]*net.TCPListener{"http": n.l} },
-		OperatorDrain:   n.operatorDrain, OperatorDrainReported: n.operatorDrainReported, PredecessorEnded: func() { n.lines <- "alone" },
+		OperatorDrain:   n.operatorDrain, OperatorDrainReported: n.operatorDrainReported, PredecessorEnded: func() { n.lines <- "alone" }, PredecessorYielded: func() {},
 		SuccessorChanged: func(on bool) { n.lines <- fmt.Sprint("succeeded ", on) },
 		AdoptConn: func(c net.Conn, info handover.Conn) bool {
 			n.lines <- fmt.Sprint("moved ", info.Served)
