Do not pass on requests whose caller has closed the connection

Callers saw: 16 of 2,000 bookings ran that a client had written at once on h2c before it closed the connection. Cause: the end of a connection was noticed behind all bytes before it, and what those held was passed on first. Change: before a request is passed on, the connection is asked whether its peer has closed it (POLLRDHUP). Evidence: TestRequestsOfACallerThatLeftAreNotPassedOn failed on http, uwsgi and h2c before.

--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -253,6 +253,9 @@
 			if !ok {
 				break
 			}
+			if e.Request != nil && k.hasPeerLeft() {
+				return k.proto.PeerCloseReason(true)
+			}
 			k.handleEvent(e)
 		}
 		if k.output = k.proto.AppendOutput(t, k.output[:0]); len(k.output) > 0 {
--- a/internal/node/pause.go
+++ b/internal/node/pause.go
@@ -36,6 +36,21 @@
 	return closed
 }
 
+// hasPeerLeft reports whether the peer has closed the connection, even if bytes from before are unread: nobody waits for the
+// answers to what it sent.
+func (k *conn) hasPeerLeft() (left bool) {
+	t, ok := k.c.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := t.SyscallConn()
+	if err != nil {
+		return false
+	}
+	raw.Control(func(fd uintptr) { left = hasHungUp(fd) })
+	return left
+}
+
 // hasHungUp reports whether the peer has closed its side of a connection, even if bytes from before are unread.
 func hasHungUp(fd uintptr) bool {
 	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
--- a/internal/node/pause_test.go
+++ b/internal/node/pause_test.go
@@ -2,13 +2,22 @@
 
 import (
 	"bytes"
+	"fmt"
+	"io"
 	"net"
 	"testing"
 	"time"
 
 	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
 
+	"whinrudder"
+	"whinrudder/internal/clock"
 	"whinrudder/internal/core"
+	"whinrudder/internal/front"
+	"whinrudder/internal/h2"
+	"whinrudder/internal/httpfront"
+	"whinrudder/internal/uwsgi"
 )
 
 // floodFrames is more than the budget of any kind of frame allows.
@@ -54,3 +63,42 @@
 		t.Error("the end of the connection is not noticed behind the flood")
 	}
 }
+
+// Guards against requests that are sent on after their caller has left: what is still unread when it closes the connection must
+// not reach the core, on any front.
+func TestRequestsOfACallerThatLeftAreNotPassedOn(t *testing.T) {
+	for name, newProtocol := range map[string]func(v *front.Validator) front.Protocol{
+		"http":  func(v *front.Validator) front.Protocol { return front.NewSerialConn(httpfront.New(v), clock.Now()) },
+		"uwsgi": func(v *front.Validator) front.Protocol { return front.NewSerialConn(uwsgi.New(v), clock.Now()) },
+		"h2c":   func(v *front.Validator) front.Protocol { return h2.New(v, clock.Now()) },
+	} {
+		log := make(logLines, 8)
+		n := testNode(log)
+		n.validator = front.NewValidator([]string{"status-lookup"}, whinrudder.Settings{Classes: []whinrudder.Class{{Deadline: 9000}}})
+		here, there := tcpPair(t, 0)
+		switch name {
+		case "http":
+			there.Write(bytes.Repeat(fmt.Appendf(nil, plainRequest, time.Now().UnixMilli()), 5))
+		case "uwsgi":
+			there.Write(uwsgiRequest())
+		case "h2c":
+			p := &h2Peer{Conn: there, Framer: http2.NewFramer(there, there)}
+			p.encoder = hpack.NewEncoder(&p.block)
+			io.WriteString(there, http2.ClientPreface)
+			p.WriteSettings()
+			p.send(1)
+			p.send(3)
+		}
+		there.Close()
+		time.Sleep(10 * time.Millisecond) // all of it is at the node's machine
+		k := &conn{node: n, c: here, front: name, proto: newProtocol(n.validator)}
+		n.conns.add(k)
+		k.serve()
+		if len(n.inputs) > 0 {
+			t.Errorf("%s: got %+v, want nothing for the core", name, <-n.inputs)
+		}
+		if got := <-log; got != "gone served=0" {
+			t.Errorf("%s: the connection ended with %q, want gone served=0", name, got)
+		}
+	}
+}
