Count each command to start a run in the test of callers that leave

Cause: the fake worker pool counts a run once however often it is told to start it, so a second start by the same process went unseen. Change: the test counts the commands.

--- a/cmd/whinrudder/leave_test.go
+++ b/cmd/whinrudder/leave_test.go
@@ -83,13 +83,13 @@
 	t.Fatal("the process was not ready within 20 s")
 }
 
-// runs returns how often each request ran at any of the worker pools, by its body.
+// runs returns how often each request was started at any of the worker pools, by its body.
 func (n *leavingNode) runs() map[string]int {
 	sum := map[string]int{}
 	for _, p := range n.pools {
 		p.mu.Lock()
-		for body, runs := range p.runs {
-			sum[body] += runs
+		for body, spawns := range p.spawns {
+			sum[body] += spawns
 		}
 		p.mu.Unlock()
 	}
--- a/cmd/whinrudder/sigkill_test.go
+++ b/cmd/whinrudder/sigkill_test.go
@@ -30,6 +30,7 @@
 	serial   int
 	unsent   []string       // notices, without their serial number, that could not be sent yet
 	runs     map[string]int // number of runs by request body
+	spawns   map[string]int // number of commands to start a run by request body, also of those that run already
 	started  map[string]bool
 }
 
@@ -38,7 +39,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b := &fakePool{listener: l, runs: map[string]int{}, started: map[string]bool{}}
+	b := &fakePool{listener: l, runs: map[string]int{}, spawns: map[string]int{}, started: map[string]bool{}}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -77,6 +78,7 @@
 		case "spawn":
 			call := string(v.GetStringBytes("call"))
 			body, _ := base64.StdEncoding.DecodeString(string(v.GetStringBytes("blob")))
+			b.spawns[string(body)]++
 			if !b.started[call] {
 				b.started[call] = true
 				b.runs[string(body)]++
