Read what has arrived before a resting connection is closed

Cause: a shorter idle timeout closed connections by a time for which nothing was looked at; evicted ones were closed unread, over h2c without GOAWAY; the look was a read with a deadline of 1 ms, which a late goroutine finds passed. Change: the timeout that was looked by applies; an evicted connection reads once what has arrived and sends GOAWAY; the look polls the socket and reads without a deadline. lab memory: mixed loads, and an exact notion of a crossed close.

--- a/internal/lab/hostile.go
+++ b/internal/lab/hostile.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -35,20 +37,51 @@
 
 // allMemoryLoads returns the loads, those of hostile peers with and without an upgrade.
 func allMemoryLoads() []memoryLoad {
-	loads := memoryLoads
+	loads := slices.Clone(memoryLoads)
 	for _, upgrade := range []bool{false, true} {
-		for _, front := range []string{"http", "uwsgi", "h2c"} {
-			loads = append(loads,
-				memoryLoad{"drip", front, 400, sendSlowly, upgrade},
-				memoryLoad{"half", front, 400, stopHalfWay, upgrade},
-				memoryLoad{"fields", front, 400, sendManyFields, upgrade},
-				memoryLoad{"speed", front, 1, sendAtFullSpeed, upgrade},
-				memoryLoad{"unsound", front, 1, sendUnsoundAtFullSpeed, upgrade})
-		}
+		loads = append(loads, hostileLoads(upgrade)...)
+		loads = append(loads, memoryLoad{"mixed", allFronts, 600, func(*memoryPeer) {}, upgrade})
 	}
 	return loads
 }
 
+// hostileLoads returns the loads of hostile peers of one front each.
+func hostileLoads(upgrade bool) (loads []memoryLoad) {
+	for _, front := range []string{"http", "uwsgi", "h2c"} {
+		loads = append(loads,
+			memoryLoad{"drip", front, 400, sendSlowly, upgrade},
+			memoryLoad{"half", front, 400, stopHalfWay, upgrade},
+			memoryLoad{"fields", front, 400, sendManyFields, upgrade},
+			memoryLoad{"speed", front, 1, sendAtFullSpeed, upgrade},
+			memoryLoad{"unsound", front, 1, sendUnsoundAtFullSpeed, upgrade})
+	}
+	return loads
+}
+
+// allFronts is the front of a load whose peers use any of them.
+const allFronts = "all"
+
+// fronts returns the fronts that a load needs.
+func (l memoryLoad) fronts() []string {
+	if l.front == allFronts {
+		return []string{"http", "uwsgi", "h2c"}
+	}
+	return []string{l.front}
+}
+
+// next returns the front of the next connection of a load, and what is sent on it. A mixed load draws both from the loads with a
+// front of their own.
+func (l memoryLoad) next() (front string, send func(p *memoryPeer)) {
+	if l.front != allFronts {
+		return l.front, l.send
+	}
+	drawn := memoryLoads[rand.IntN(len(memoryLoads))]
+	if n := rand.IntN(2); n == 0 {
+		drawn = hostileLoads(false)[rand.IntN(len(hostileLoads(false)))]
+	}
+	return drawn.front, drawn.send
+}
+
 // largeRequest returns a request with a large head and a body of 2 KiB, as a front expects it; for h2c the frames of one
 // stream.
 func (p *memoryPeer) largeRequest(fields [][2]string) []byte {
--- a/internal/lab/memory.go
+++ b/internal/lab/memory.go
@@ -20,6 +20,7 @@
 	"github.com/valyala/fastjson"
 	"golang.org/x/net/http2"
 	"golang.org/x/net/http2/hpack"
+	"golang.org/x/sys/unix"
 )
 
 // MemoryRun is the result of one load that hostile peers put on the memory of a node.
@@ -128,7 +129,7 @@
 	if load.send == nil {
 		return r, fmt.Errorf("lab: unknown memory load %q", name)
 	}
-	setup := nodeSetup{fronts: []string{load.front}, memoryMB: limitMB, pool: selectivePool}
+	setup := nodeSetup{fronts: load.fronts(), memoryMB: limitMB, pool: selectivePool}
 	if load.upgrade {
 		if setup.upgradeDir, err = os.MkdirTemp("", "upgrade"); err != nil {
 			return r, err
@@ -150,12 +151,13 @@
 	for range load.conns {
 		wait.Go(func() {
 			for time.Now().Before(end) && ctx.Err() == nil {
-				p, err := dialMemoryPeer(load.front, n.addrs[load.front], end, &r.Messages)
+				front, send := load.next()
+				p, err := dialMemoryPeer(front, n.addrs[front], end, &r.Messages)
 				if err != nil {
 					time.Sleep(20 * time.Millisecond)
 					continue
 				}
-				load.send(p)
+				send(p)
 				p.conn.Close()
 			}
 		})
@@ -216,6 +218,9 @@
 			c.SetDeadline(time.Now().Add(calmAnswerTimeout))
 			started := time.Now()
 			c.Write(encodeRequest("http", "calm")) // the read finds an error as well
+			if n > 0 && hasHungUp(c) {
+				break // the node had closed it before the request was there
+			}
 			if _, err := in.Peek(1); err != nil && n > 0 && time.Since(started) < crossingTime {
 				break
 			}
@@ -240,6 +245,21 @@
 	}
 }
 
+// hasHungUp reports whether the node has closed its side of a connection. It is exact where this process gets no processor for a
+// while, and the times that it takes are not.
+func hasHungUp(c net.Conn) (closed bool) {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(fds, 0)
+		closed = err == nil && n > 0
+	})
+	return closed
+}
+
 // noteLate notes how long an answer took beyond the time of its run.
 func (r *MemoryRun) noteLate(late time.Duration) {
 	for {
--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -82,7 +82,7 @@
 	busy          bool       // the connection table knows that a message is pending or an answer unsent
 	endAnnounced  bool       // the protocol knows that the node ends
 	lookedLast    bool       // what arrived before the end of the node was read
-	lateReads     int        // reads after a deadline of the protocol, since the last one in time
+	lateReads     int        // reads after a deadline of the protocol, since the last one in time or the last request
 	readDeadline  float64    // the deadline that was set last, in Unix milliseconds; -1 if it has expired
 	deliveries    []delivery // being processed, taken from the mailbox
 	pending       []message  // messages without an answer
@@ -283,6 +283,10 @@
 			k.c.SetReadDeadline(clock.Time(wake))
 		}
 		if k.node.conns.revoked(k) {
+			if !k.lookedLast && k.hasUnreadBytes() && k.look(buf) {
+				continue // a request in them is refused
+			}
+			k.announceEnd()
 			return "room"
 		}
 		if k.hasWork() {
@@ -317,8 +321,8 @@
 		switch {
 		case err == nil:
 		case errors.Is(err, os.ErrDeadlineExceeded):
-			k.readDeadline = -1 // expired: it has to be set again, whoever set it
-			k.proto.HandleDeadline(clock.Now(), float64(k.node.idleTimeoutMs.Load()))
+			k.readDeadline = -1                       // expired: it has to be set again, whoever set it
+			k.proto.HandleDeadline(clock.Now(), idle) // not by a shorter one, before which nothing was read
 		case errors.Is(err, net.ErrClosed) && k.owesAnswer():
 			return "cut"
 		case errors.Is(err, net.ErrClosed):
@@ -329,6 +333,14 @@
 	}
 }
 
+// announceEnd tells the peer of a connection that is closed for another one which of its messages were not read.
+func (k *conn) announceEnd() {
+	k.proto.EndDrain(clock.Now())
+	if k.output = k.proto.AppendOutput(clock.Now(), k.output[:0]); len(k.output) > 0 {
+		k.write()
+	}
+}
+
 // deadlinePassed reports whether a deadline of the protocol has passed, so that the connection may be closed. If another
 // goroutine set an expired read deadline to wake this one, it has not.
 func (k *conn) deadlinePassed(idle float64) bool {
@@ -349,9 +361,7 @@
 		return 0, os.ErrDeadlineExceeded
 	}
 	k.lateReads++
-	k.readDeadline = -1 // it has to be set again
-	k.c.SetReadDeadline(clock.Time(clock.Now() + lateReadMs))
-	return k.c.Read(buf)
+	return k.readArrived(buf)
 }
 
 // finish reports whether the connection may be closed at the end of the node: what arrived before is read, and all answers
@@ -368,14 +378,11 @@
 // written in time gets an answer.
 func (k *conn) look(buf []byte) bool {
 	k.lookedLast = true
-	k.readDeadline = -1 // it has to be set again
-	until := clock.Time(clock.Now() + lateReadMs)
-	k.c.SetReadDeadline(until)
-	n, err := k.c.Read(buf)
+	n, _ := k.readArrived(buf)
 	if n > 0 {
 		k.proto.Feed(clock.Now(), buf[:n])
-	} else if !errors.Is(err, os.ErrDeadlineExceeded) {
-		time.Sleep(time.Until(until)) // the peer sends no more, but it may still read
+	} else {
+		time.Sleep(lateReadMs * time.Millisecond)
 	}
 	return n > 0
 }
@@ -419,6 +426,7 @@
 		k.node.submit(core.HealthCheck{Deep: e.DeepCheck, ReplyTo: to})
 		return
 	}
+	k.lateReads = 0
 	k.pending = append(k.pending, message{e.Tag, e.Request.ID})
 	e.Request.ReplyTo = to
 	wait := e.Request.Due - e.Request.ArrivedAt
--- a/internal/node/shutdown_test.go
+++ b/internal/node/shutdown_test.go
@@ -4,10 +4,13 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"testing"
 	"time"
 
+	"golang.org/x/net/http2"
+
 	"whinrudder/internal/clock"
 	"whinrudder/internal/core"
 	"whinrudder/internal/front"
@@ -102,3 +105,66 @@
 		}
 	}
 }
+
+// Guards against a request that is closed unread, because the place of its connection was given to another one while it waited in
+// the kernel: it is refused, and a gateway is told which streams were not read.
+func TestWhatArrivedOnAnEvictedConnectionIsRefused(t *testing.T) {
+	n, _, _ := newRequestNode(t)
+	here, there := tcpPair(t, 0)
+	fmt.Fprintf(there, plainRequest, time.Now().UnixMilli())
+	k := &conn{node: n, c: here, front: "http", proto: front.NewSerialConn(httpfront.New(n.validator), clock.Now())}
+	n.conns.add(k)
+	k.state.revoked = true
+	time.Sleep(5 * time.Millisecond) // the request is at the node's machine
+	go k.serve()
+	if got, _ := io.ReadAll(there); !strings.HasPrefix(string(got), "HTTP/1.1 503") {
+		t.Errorf("got %q, want a refusal", got)
+	}
+	gateway, k := newH2Peer(t, n, 1<<16)
+	n.conns.mu.Lock()
+	k.state.revoked = true
+	n.conns.mu.Unlock()
+	k.c.SetReadDeadline(clock.Expired())
+	f, err := gateway.ReadFrame()
+	if g, ok := f.(*http2.GoAwayFrame); !ok || g.LastStreamID != 0 {
+		t.Errorf("the gateway got %v and %v, want GOAWAY", f, err)
+	}
+}
+
+// wokenConn is a connection whose first read is ended by another goroutine.
+type wokenConn struct {
+	net.Conn
+	wake func() // called before the end of the first read; nil afterwards
+}
+
+func (c *wokenConn) Read(b []byte) (int, error) {
+	if c.wake == nil {
+		return c.Conn.Read(b)
+	}
+	c.wake()
+	c.wake = nil
+	return 0, os.ErrDeadlineExceeded
+}
+
+// Guards against a request that is closed unread, because the module shortens the time that connections may rest: what arrived
+// before the connection learned that is read first.
+func TestShorterIdleTimeoutLooksForARequestFirst(t *testing.T) {
+	log := make(logLines, 4)
+	n := testNode(log)
+	n.validator = front.NewValidator([]string{"status-lookup"}, settings.Settings{}.Policy)
+	here, there := tcpPair(t, 0)
+	woken := &wokenConn{Conn: here, wake: func() {
+		fmt.Fprintf(there, plainRequest, time.Now().UnixMilli())
+		time.Sleep(5 * time.Millisecond)
+		n.idleTimeoutMs.Store(1)
+	}}
+	proto := front.ResumeSerialConn(httpfront.New(n.validator), 1, clock.Now()-100)
+	k := &conn{node: n, c: woken, front: "http", proto: proto}
+	n.conns.add(k)
+	go k.serve()
+	select {
+	case <-n.inputs:
+	case code := <-log:
+		t.Errorf("the connection ended with %q and an unread request", code)
+	}
+}
