Ask for the descriptor of a connection once

Cause: each look at a socket (left, delivered, unread bytes) made a new handle for it. Change: the handle is kept with the connection; the looks share one function.

--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"whinrudder/internal/clock"
@@ -91,8 +92,9 @@
 	unsentAnswers int     // answers that were possibly not written
 	writeDeadline float64 // of the output, in Unix milliseconds; 0: defaultWriteTimeoutMs from now
 
-	sharedBytes int64     // what it takes of the shared memory budget, besides what its protocol takes
-	state       connState // guarded by connTable.mu
+	raw         syscall.RawConn // see rawConn
+	sharedBytes int64           // what it takes of the shared memory budget, besides what its protocol takes
+	state       connState       // guarded by connTable.mu
 }
 
 // delivery is an answer in the mailbox.
--- a/internal/node/pause.go
+++ b/internal/node/pause.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"os"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -18,15 +19,11 @@
 // sets the read deadline, or until the peer closes the connection, which it reports.
 func (k *conn) pauseReading(until float64) (closed bool) {
 	k.readDeadline = -1 // it has to be set again
-	t, ok := k.c.(*net.TCPConn)
-	if !ok {
+	raw := k.rawConn()
+	if raw == nil {
 		time.Sleep(pausePollMs * time.Millisecond)
 		return false
 	}
-	raw, err := t.SyscallConn()
-	if err != nil {
-		return false
-	}
 	k.c.SetReadDeadline(clock.Time(until))
 	if k.hasWork() {
 		return false // it arrived before SetReadDeadline, which may have overwritten the wake-up
@@ -58,7 +55,7 @@
 // look: if this goroutine gets to run late, the deadline has passed, and such a read does not look at the socket.
 func (k *conn) readArrived(buf []byte) (n int, err error) {
 	k.readDeadline = -1 // it has to be set again
-	if _, ok := k.c.(*net.TCPConn); !ok {
+	if k.rawConn() == nil {
 		k.c.SetReadDeadline(clock.Time(clock.Now() + lateReadMs))
 		return k.c.Read(buf)
 	}
@@ -72,15 +69,19 @@
 
 // control calls look with the descriptor of a TCP connection that is not closed.
 func (k *conn) control(look func(fd uintptr)) {
-	t, ok := k.c.(*net.TCPConn)
-	if !ok {
-		return
-	}
-	if raw, err := t.SyscallConn(); err == nil {
+	if raw := k.rawConn(); raw != nil {
 		raw.Control(look)
 	}
 }
 
+// rawConn gives access to the descriptor of a TCP connection; it returns nil for another one.
+func (k *conn) rawConn() syscall.RawConn {
+	if t, ok := k.c.(*net.TCPConn); ok && k.raw == nil {
+		k.raw, _ = t.SyscallConn()
+	}
+	return k.raw
+}
+
 // hasHungUp reports whether the peer has closed its side of a connection, even if bytes from before are unread.
 func hasHungUp(fd uintptr) bool {
 	return poll(fd, unix.POLLRDHUP)&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
