--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -118,121 +118,113 @@
 	return b, nil
 }
 
-// replay reads all segments and calls visit for each committed record.
+// replay reads all segments and calls visit for each committed record. It holds a part of a segment at a time.
 func (j *Journal) replay(visit func(Record, Position)) (summary Summary, err error) {
 	segments, err := listSegments(j.dir)
-	if err != nil {
+	if err != nil || len(segments) == 0 {
 		return summary, err
 	}
 	if len(segments) > maxSegments {
 		return summary, fmt.Errorf("%w: %d segments exceed the limit of %d", ErrDamaged, len(segments), maxSegments)
 	}
-	var next []byte
-	if len(segments) > 0 {
-		if next, err = readSegment(j.dir, segments[0]); err != nil {
+	current, err := openSegment(j.dir, segments[0])
+	if err != nil {
+		return summary, err
+	}
+	defer func() { current.close() }()
+	for i, number := range segments {
+		if i == len(segments)-1 {
+			return summary, j.replaySegment(current, current.size, true, &summary, visit)
+		}
+		if segments[i+1] != number+1 {
+			return summary, Damage{number + 1, 0, "the segment is missing"}
+		}
+		next, err := openSegment(j.dir, number+1)
+		if err != nil {
 			return summary, err
 		}
-	}
-	for i, seg := range segments {
-		b := next
-		last := i == len(segments)-1
-		validEnd := uint32(len(b))
-		if !last {
-			if segments[i+1] != seg+1 {
-				return summary, Damage{seg + 1, 0, "the segment is missing"}
-			}
-			if next, err = readSegment(j.dir, seg+1); err != nil {
-				return summary, err
-			}
-			h, _, _, problem := readFrame(next, seg+1, 0)
-			switch {
-			case problem != "" && i+2 == len(segments): // a crash interrupted its creation: nothing in it is committed
-				if err := checkTorn(next, seg+1, 0, 0); err != nil {
-					return summary, err
-				}
-				last = true
-			case problem != "":
-				return summary, Damage{seg + 1, 0, problem}
-			case h.PrevSegment != seg || h.PrevEnd > validEnd:
-				return summary, Damage{seg + 1, 0, "the header does not match the preceding segment"}
-			default:
-				validEnd = h.PrevEnd
-			}
+		validEnd, uncommitted, err := validEndBefore(next, current, i+2 == len(segments))
+		if err == nil {
+			err = j.replaySegment(current, validEnd, uncommitted, &summary, visit)
 		}
-		if err := j.replaySegment(b, seg, validEnd, last, &summary, visit); err != nil {
+		current.close()
+		current = next
+		if err != nil {
 			return summary, err
 		}
-		if last && i+1 < len(segments) {
-			summary.TornBytes += int64(len(next))
-			if err := errors.Join(j.dir.Remove(segmentName(seg+1)), j.dir.Sync()); err != nil {
-				return summary, err
-			}
-			break
+		if uncommitted {
+			summary.TornBytes += int64(next.size)
+			return summary, errors.Join(j.dir.Remove(segmentName(number+1)), j.dir.Sync())
 		}
 	}
 	return summary, nil
 }
 
+// validEndBefore returns the valid length of a segment, which the header of the next one holds. uncommitted reports that a
+// crash interrupted the creation of the next one, if that is the last: nothing in it is committed.
+func validEndBefore(next, current *segmentReader, nextIsLast bool) (validEnd uint32, uncommitted bool, err error) {
+	header, _, _, problem, err := next.frameAt(0, next.size)
+	switch {
+	case err != nil:
+		return 0, false, err
+	case problem != "" && nextIsLast:
+		return current.size, true, next.checkTorn(0, 0)
+	case problem != "":
+		return 0, false, Damage{next.number, 0, problem}
+	case header.PrevSegment != current.number || header.PrevEnd > current.size:
+		return 0, false, Damage{next.number, 0, "the header does not match the preceding segment"}
+	}
+	return header.PrevEnd, false, nil
+}
+
 // replaySegment reads the records of a segment up to validEnd. In the last segment, a torn batch may end them earlier.
-func (j *Journal) replaySegment(b []byte, seg, validEnd uint32, last bool, summary *Summary,
+func (j *Journal) replaySegment(s *segmentReader, validEnd uint32, last bool, summary *Summary,
 	visit func(Record, Position)) error {
 	offset := uint32(0)
 	for offset < validEnd {
-		r, size, batch, problem := readFrame(b[offset:validEnd], seg, offset)
+		r, size, batch, problem, err := s.frameAt(offset, validEnd)
+		if err != nil {
+			return err
+		}
 		if problem != "" {
 			if !last {
-				return Damage{seg, offset, problem}
+				return Damage{s.number, offset, problem}
 			}
-			if err := checkTorn(b, seg, offset, j.batch+1); err != nil {
+			if err := s.checkTorn(offset, j.batch+1); err != nil {
 				return err
 			}
 			break
 		}
 		switch {
 		case offset == 0 && r.Kind != kindHeader:
-			return Damage{seg, offset, "the header is missing"}
+			return Damage{s.number, offset, "the header is missing"}
 		case offset == 0 && r.Version > Version:
 			return fmt.Errorf("%w: %d, the newest supported version is %d", ErrNewerVersion, r.Version, Version)
 		case offset == 0 && r.Node != j.node:
 			return fmt.Errorf("%w: %q, want %q", ErrOtherNode, r.Node, j.node)
 		case offset > 0 && r.Kind == kindHeader, batch < j.batch:
-			return Damage{seg, offset, "a record is out of order"}
+			return Damage{s.number, offset, "a record is out of order"}
 		case offset == 0:
 			summary.Node, summary.Version = r.Node, r.Version
 		default:
-			visit(r, Position{seg, offset, size})
+			visit(r, Position{s.number, offset, size})
 			summary.Records++
 		}
 		j.batch = batch
 		offset += size
 	}
 	if last && offset == 0 { // the segment has no valid header: a crash interrupted its creation
-		summary.TornBytes += int64(len(b))
-		return errors.Join(j.dir.Remove(segmentName(seg)), j.dir.Sync())
+		summary.TornBytes += int64(s.size)
+		return errors.Join(j.dir.Remove(segmentName(s.number)), j.dir.Sync())
 	}
 	summary.Segments++
-	summary.Bytes += int64(len(b))
-	summary.TornBytes += int64(uint32(len(b)) - offset)
-	j.segments = append(j.segments, Segment{seg, int64(len(b))})
+	summary.Bytes += int64(s.size)
+	summary.TornBytes += int64(s.size - offset)
+	j.segments = append(j.segments, Segment{s.number, int64(s.size)})
 	j.end = offset
 	return nil
 }
 
-// checkTorn decides whether the invalid record at an offset can be the result of a crash. A batch is written only after
-// the batch before it was synced, so a crash can tear only the last batch. If a valid record of a batch with a number
-// above tornBatch follows, the invalid record is Damage.
-func checkTorn(b []byte, seg, offset uint32, tornBatch uint64) error {
-	for i := offset + 1; int(i)+frameHeaderBytes <= len(b); i++ {
-		if [4]byte(b[i:]) != marker {
-			continue
-		}
-		if _, _, batch, problem := readFrame(b[i:], seg, i); problem == "" && batch > tornBatch {
-			return Damage{seg, offset, "a record is invalid, but valid records of later batches follow"}
-		}
-	}
-	return nil
-}
-
 // Append writes records as one batch and returns their positions once they are durable. After an error none of them is
 // committed: a next segment, whose header excludes whatever was written of them, is begun before any other record is
 // written. If the process ends before that, Open may still find the whole batch or its first records.
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -10,6 +10,7 @@
 	"github.com/google/go-cmp/cmp/cmpopts"
 	"pgregory.net/rapid"
 
+	"whinrudder/internal/storage"
 	"whinrudder/internal/storagetest"
 )
 
@@ -222,3 +223,50 @@
 		}
 	})
 }
+
+// readSizes is a directory that notes the largest read of its files.
+type readSizes struct {
+	storage.Dir
+	largest *int
+}
+
+func (d readSizes) Open(name string) (storage.File, error) {
+	f, err := d.Dir.Open(name)
+	return sizedReads{f, d.largest}, err
+}
+
+type sizedReads struct {
+	storage.File
+	largest *int
+}
+
+func (f sizedReads) ReadAt(p []byte, offset int64) (int, error) {
+	*f.largest = max(*f.largest, len(p))
+	return f.File.ReadAt(p, offset)
+}
+
+// Guards against a start that takes more memory than the node may have (review/6): however large the segments are, recovery
+// holds a small part of them at a time, also where it looks behind a damaged record.
+func TestRecoveryReadsInPiecesOfABoundSize(t *testing.T) {
+	dir := storagetest.New(1)
+	j, _, err := Open(dir, Options{Node: "n1", SegmentBytes: 1 << 30}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const batches, size = 100, 15000
+	for i := range batches {
+		if _, err := j.Append([]Record{{Kind: Finished, Key: fmt.Sprint(i), Result: make([]byte, size)}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if j.Close(); j.Bytes() < batches*size {
+		t.Fatalf("the journal has %d bytes", j.Bytes())
+	}
+	largest, records := 0, 0
+	again, _, err := Open(readSizes{dir, &largest}, Options{Node: "n1", SegmentBytes: 1 << 30}, func(Record, Position) { records++ })
+	if err != nil || records != batches || largest > windowBytes {
+		t.Errorf("got %d of %d records with reads of up to %d bytes and error %v, want reads of at most %d", records, batches, largest,
+			err, windowBytes)
+	}
+	again.Close()
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -172,6 +172,7 @@
 // Listen opens the listeners of all fronts. Connections are accepted at once, or, if the sockets come from a
 // predecessor, when the worker pool is ready. Requests wait for Run.
 func (n *Node) Listen() error {
+	setProcessLimits(n.cfg, n.op, false) // before kept results are read
 	if err := n.takeOver(); err != nil {
 		return err
 	}
