--- a/cmd/whinrudder/leave_test.go
+++ b/cmd/whinrudder/leave_test.go
@@ -25,19 +25,22 @@
 // leavingNode is a node whose processes succeed each other, with a worker pool of its own for each.
 type leavingNode struct {
 	program, dir string
+	runTime      time.Duration     // of the runs of its worker pools; 0: the usual one
+	replacements []string          // in the configuration, see exampleConfig
 	addrs        map[string]string // of the fronts
 	pools        []*fakePool
 	processes    []*exec.Cmd
 }
 
-func newLeavingNode(t *testing.T) *leavingNode {
+func newLeavingNode(t *testing.T, sections ...string) *leavingNode {
 	t.Helper()
 	program, dir := buildProgram(t)
 	n := &leavingNode{program: program, dir: dir, addrs: map[string]string{}}
 	for _, f := range leavingFronts {
 		n.addrs[f] = freeAddr(t)
 	}
-	operator := fmt.Sprintf(`{"uwsgi":{"listen":%q},"h2c":{"listen":%q},"upgrade":{"dir":%q}}`, n.addrs["uwsgi"], n.addrs["h2c"], dir)
+	operator := fmt.Sprintf(`{"uwsgi":{"listen":%q},"h2c":{"listen":%q},"upgrade":{"dir":%q}%s}`, n.addrs["uwsgi"],
+		n.addrs["h2c"], dir, strings.Join(sections, ""))
 	if err := os.WriteFile(filepath.Join(dir, "operator.json"), []byte(operator), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -54,10 +57,11 @@
 func (n *leavingNode) start(t *testing.T) {
 	t.Helper()
 	pool := newFakePool(t)
+	pool.runTime = n.runTime
 	t.Cleanup(func() { pool.listener.Close() })
 	admin := freeAddr(t)
 	config := filepath.Join(n.dir, fmt.Sprint("config", len(n.pools), ".json"))
-	if err := os.WriteFile(config, []byte(exampleConfig(t, n.addrs["http"], pool)), 0o600); err != nil {
+	if err := os.WriteFile(config, []byte(exampleConfig(t, n.addrs["http"], pool, n.replacements...)), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	c := exec.Command(n.program, "serve", "--config", config, "--operator", filepath.Join(n.dir, "operator.json"))
--- a/cmd/whinrudder/sigkill_test.go
+++ b/cmd/whinrudder/sigkill_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/base64"
 	"fmt"
 	"io"
@@ -32,6 +33,7 @@
 	runs     map[string]int // number of runs by request body
 	spawns   map[string]int // number of commands to start a run by request body, also of those that run already
 	started  map[string]bool
+	runTime  time.Duration // of each run; 0: 2 to 16 ms
 }
 
 func newFakePool(t *testing.T) *fakePool {
@@ -82,7 +84,7 @@
 			if !b.started[call] {
 				b.started[call] = true
 				b.runs[string(body)]++
-				time.AfterFunc(time.Duration(2+rand.IntN(15))*time.Millisecond, func() {
+				time.AfterFunc(cmp.Or(b.runTime, time.Duration(2+rand.IntN(15))*time.Millisecond), func() {
 					b.mu.Lock()
 					defer b.mu.Unlock()
 					b.notify(fmt.Sprintf(`"call":%q,"how":"OK","duration":5,"blob":%q`, call,
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -15,6 +15,7 @@
 //	       <------------------  load, yielded          the successor has all IDs; the predecessor may be told to leave
 //	       <------------------  claim                  asks whether requests that the predecessor has read may run
 //	claimed ----------------->
+//	       <------------------  links                  where the results of runs can be read that outlive the predecessor
 //	       <------------------  conn (an idle connection), any number
 //
 // Until it receives serving, the predecessor works as before. If the successor is lost, at that time or later, the
@@ -23,6 +24,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"whinrudder"
 	"whinrudder/internal/core"
@@ -40,6 +42,7 @@
 	kindYielded                       // from the predecessor: it accepts no new connections
 	kindClaim                         // from the predecessor: IDs of requests that it would run
 	kindClaimed                       // from the successor: which of them it may run, and which are known already
+	kindLinks                         // from the predecessor: its links to worker pools
 )
 
 // Times in milliseconds.
@@ -98,7 +101,21 @@
 
 // serving is sent by the successor. Earlier versions send an empty map, and answer no claims.
 type serving struct {
-	AnswersClaims bool `cbor:"claims"`
+	AnswersClaims   bool `cbor:"claims"`
+	CollectsResults bool `cbor:"collects"`
+}
+
+// PoolLink is where the notices of a worker pool can be read, and the number of the last one that was read.
+type PoolLink struct {
+	Addr   string `cbor:"addr"`
+	Serial uint64 `cbor:"serial"`
+}
+
+// MaxPoolLinks bounds the links that a process reports: its own and those of processes before it.
+const MaxPoolLinks = 4
+
+type links struct {
+	Links []PoolLink `cbor:"links"`
 }
 
 type claim struct {
@@ -175,6 +192,8 @@
 	ClaimReceived struct{ IDs []string }
 	// ClaimAnswered carries the answer to a claim.
 	ClaimAnswered struct{ Granted, Known []string }
+	// LinksReceived carries the predecessor's links to worker pools.
+	LinksReceived struct{ Links []PoolLink }
 )
 
 func (HelloReceived) event()      {}
@@ -186,6 +205,7 @@
 func (ConnReceived) event()       {}
 func (ClaimReceived) event()      {}
 func (ClaimAnswered) event()      {}
+func (LinksReceived) event()      {}
 
 // endpoint is the state that both sides have in common.
 type endpoint struct {
@@ -263,7 +283,9 @@
 	phase phase
 	hello hello // as received
 
-	answersClaims bool // the successor answers claims
+	answersClaims   bool       // the successor answers claims
+	collectsResults bool       // the successor reads results of runs that outlive this process
+	sentLinks       []PoolLink // as sent last
 }
 
 type phase uint8
@@ -308,7 +330,8 @@
 			if fault := peer.DecodeValue(f, &s); fault != nil {
 				return events, fault
 			}
-			p.phase, p.deadline, p.answersClaims = phaseServing, 0, s.AnswersClaims
+			p.phase, p.deadline = phaseServing, 0
+			p.answersClaims, p.collectsResults = s.AnswersClaims, s.CollectsResults
 			events = append(events, SuccessorServing{})
 		case f.Kind == kindLoad && p.phase >= phaseWelcomeSent:
 			e, fault := decodeLoad(f)
@@ -343,6 +366,16 @@
 // AnswersClaims reports whether the successor serves and answers claims.
 func (p *Predecessor) AnswersClaims() bool { return p.answersClaims }
 
+// SendLinks reports this process's links to worker pools, if they have changed.
+func (p *Predecessor) SendLinks(all []PoolLink) {
+	all = all[:min(len(all), MaxPoolLinks)]
+	if !p.collectsResults || slices.Equal(all, p.sentLinks) {
+		return
+	}
+	p.sentLinks = slices.Clone(all)
+	p.queue(Message{Bytes: peer.AppendValue(nil, kindLinks, links{all})})
+}
+
 // SendClaim asks the successor whether this process may run the requests with some IDs.
 func (p *Predecessor) SendClaim(ids []string) {
 	for ; p.answersClaims && len(ids) > 0; ids = ids[min(len(ids), maxIDsPerLoad):] {
@@ -499,6 +532,15 @@
 			return nil, fault
 		}
 		return ClaimReceived{ids}, nil
+	case f.Kind == kindLinks && s.serving:
+		var l links
+		if fault := peer.DecodeValue(f, &l); fault != nil {
+			return nil, fault
+		}
+		if len(l.Links) > MaxPoolLinks {
+			return nil, peer.NewFault("many-links", "%d links exceed the limit of %d", len(l.Links), MaxPoolLinks)
+		}
+		return LinksReceived(l), nil
 	}
 	return nil, peer.NewFault("bad-order", "unexpected frame of kind %d", f.Kind)
 }
@@ -522,7 +564,7 @@
 func (s *Successor) SendServing() {
 	if s.complete && !s.serving {
 		s.serving = true
-		s.queue(Message{Bytes: peer.AppendValue(nil, kindServing, serving{AnswersClaims: true})})
+		s.queue(Message{Bytes: peer.AppendValue(nil, kindServing, serving{AnswersClaims: true, CollectsResults: true})})
 	}
 }
 
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -372,6 +372,12 @@
 	if diff := cmp.Diff(sent, received); diff != "" || !cmp.Equal(want, answer) {
 		t.Errorf("claimed IDs differ: %s; got answer %v, want %v", diff, answer, want)
 	}
+	pools := []PoolLink{{"pool:1", 4}, {"pool:2", 0}}
+	predecessor.SendLinks(pools)
+	predecessor.SendLinks(pools) // not again
+	if got := pass(predecessor, successor); !cmp.Equal(got, []Event{LinksReceived{pools}}) {
+		t.Errorf("got %v, want the links once", got)
+	}
 	old := NewPredecessor("n1", addrs, 0)
 	old.Feed(0, peer.AppendValue(nil, kindHello, hello{"n1", addrs}))
 	old.SendWelcome(0, core.DrainState{}, sample)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -74,6 +74,7 @@
 
 	openDir         func(path string) (storage.Dir, error) // opens the directory of kept results
 	keptOwner       *kept.Owner                            // nil if no results are kept
+	lateResults     lateResults                            // of kept operations, in an upgrade
 	subsystems      []Subsystem                            // enabled by the operator's file, see subsystems.go
 	peerAddr        string                                 // address of the peer port
 	listeners       []net.Listener                         // of the fronts
@@ -116,6 +117,7 @@
 	n.idleTimeoutMs.Store(int64(cfg.Settings.Policy.KeepAlive))
 	n.accepting.Store(true)
 	n.stopMs = cfg.StopMs
+	n.lateResults.node = n
 	n.reporter = reporter{addr: cfg.Announce, wake: make(chan struct{}, 1)}
 	n.link = &link{node: n, addr: cfg.Pool, state: pool.New(cfg.Settings.ClassNames, cfg.Settings.GaugeNames)}
 	return n, nil
--- a/internal/node/subsystems.go
+++ b/internal/node/subsystems.go
@@ -80,7 +80,7 @@
 	if err != nil {
 		return err
 	}
-	host := kept.Host{Name: n.cfg.Name, Send: n.submit, Log: n.log}
+	host := kept.Host{Name: n.cfg.Name, Send: n.sendKept, Log: n.log}
 	h := kept.NewOwner(host, n.op.Kept.Dir, func(now float64) (*kept.Store, *ops.Table, error) {
 		return kept.Open(host, dir, n.op.Kept, now)
 	})
@@ -93,6 +93,19 @@
 	return nil
 }
 
+// sendKept passes an input about kept results to the core. Once that has the journal of a predecessor, the results of runs that
+// outlive that process are read.
+func (n *Node) sendKept(i core.Input) {
+	adopted, ok := i.(core.AdoptOps)
+	if !ok {
+		n.submit(i)
+		return
+	}
+	_, inDoubt, _, _ := adopted.Table.Counts()
+	n.submit(i)
+	n.lateResults.journalOpened(inDoubt)
+}
+
 // eachSubsystem calls do for every subsystem.
 func (n *Node) eachSubsystem(do func(Subsystem)) {
 	for _, s := range n.subsystems {
--- a/internal/node/upgrade.go
+++ b/internal/node/upgrade.go
@@ -35,7 +35,8 @@
 	n.upgrade = upgrade.New(upgrade.Host{Name: n.cfg.Name, Dir: n.op.UpgradeDir, ListenAddrs: n.listenAddrs,
 		Submit: n.submit, Log: n.log, CurrentSettings: n.currentSettings, Listeners: n.tcpListeners,
 		OperatorDrain: n.operatorDrain, OperatorDrainReported: n.operatorDrainReported, SuccessorChanged: n.successorChanged,
-		PredecessorYielded: n.startAccepting, PredecessorEnded: n.predecessorEnded, AdoptConn: n.adoptConn})
+		PredecessorYielded: n.startAccepting, PoolLinks: n.poolLinks, PoolLinksReported: n.lateResults.report,
+		PredecessorEnded: n.predecessorEnded, AdoptConn: n.adoptConn})
 	if n.handoff, err = n.upgrade.TakeOver(); err != nil || n.handoff == nil {
 		return err
 	}
@@ -155,11 +156,23 @@
 // predecessorEnded is called when the predecessor process has ended.
 func (n *Node) predecessorEnded() {
 	n.setSharing(false)
+	n.lateResults.endOfPredecessor()
 	if n.serving.Load() {
 		n.startAccepting()
 	}
 }
 
+// poolLinks returns the links whose late results a successor should read: none if no results are kept.
+func (n *Node) poolLinks() []handover.PoolLink {
+	if !n.op.Kept.Enabled() {
+		return nil
+	}
+	n.link.mu.Lock()
+	own := handover.PoolLink{Addr: n.link.addr, Serial: n.link.state.Serial()}
+	n.link.mu.Unlock()
+	return append([]handover.PoolLink{own}, n.lateResults.links()...)
+}
+
 // yieldTimeoutMs is how long a process that can serve waits for its predecessor to yield before it accepts connections.
 const yieldTimeoutMs = 1000
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -64,6 +64,12 @@
 	return &Link{classes: classes, gauges: gauges, fence: notBound}
 }
 
+// NewCollector returns a link that only reads notices, from the one after a serial number on.
+func NewCollector(serial uint64) *Link { return &Link{fence: notBound, serial: serial} }
+
+// Serial returns the number of the last notice that was read.
+func (l *Link) Serial() uint64 { return l.serial }
+
 // SetNames replaces the names of the classes, by class index, and of the gauges.
 func (l *Link) SetNames(classes, gauges []string) { l.classes, l.gauges = classes, gauges }
 
--- a/internal/upgrade/claims.go
+++ b/internal/upgrade/claims.go
@@ -73,6 +73,7 @@
 	}
 	p.conn.mu.Lock()
 	p.machine.SendLoad(load.Beside, load.IDs, p.u.host.OperatorDrain())
+	p.machine.SendLinks(p.u.host.PoolLinks())
 	p.machine.SendYielded()
 	p.yielded = true
 	p.conn.mu.Unlock()
--- a/internal/upgrade/predecessor.go
+++ b/internal/upgrade/predecessor.go
@@ -107,6 +107,7 @@
 			if load, ok := query.run(p.u.host.Submit); ok {
 				p.conn.mu.Lock()
 				p.machine.SendLoad(load.Beside, load.IDs, p.u.host.OperatorDrain())
+				p.machine.SendLinks(p.u.host.PoolLinks())
 				p.conn.mu.Unlock()
 			}
 		}
--- a/internal/upgrade/successor.go
+++ b/internal/upgrade/successor.go
@@ -198,6 +198,8 @@
 		s.u.host.PredecessorYielded()
 	case handover.ClaimReceived:
 		s.answerClaim(e)
+	case handover.LinksReceived:
+		s.u.host.PoolLinksReported(e.Links)
 	case handover.ConnReceived:
 		f, err := s.conn.nextFile()
 		if err != nil {
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -54,6 +54,10 @@
 	// PredecessorYielded reports that the process that this one succeeds has passed on the IDs of all requests that it has
 	// read, and claims those that it reads from now on.
 	PredecessorYielded func()
+	// PoolLinks returns the links of this process to worker pools whose results its successor should read.
+	PoolLinks func() []handover.PoolLink
+	// PoolLinksReported reports such links of the process that this one succeeds.
+	PoolLinksReported func([]handover.PoolLink)
 	// PredecessorEnded reports that the process that this one succeeds has ended.
 	PredecessorEnded func()
 	// AdoptConn takes over an idle connection of another process. It returns false if that is not possible.
--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -28,6 +28,7 @@
 	lines chan string // log lines of handovers and calls of the Host functions
 	mu    sync.Mutex
 	ids   []string // received from the other side
+	links []handover.PoolLink
 	drain core.DrainState
 }
 
@@ -92,6 +93,12 @@
 		CurrentSettings: func() ([]string, whinrudder.Settings) { return []string{"a"}, whinrudder.Settings{Cores: 2} },
 		Listeners:       func() map[string]*net.TCPListener { return map[string]*net.TCPListener{"http": n.l} },
 		OperatorDrain:   n.operatorDrain, OperatorDrainReported: n.operatorDrainReported, PredecessorEnded: func() { n.lines <- "alone" }, PredecessorYielded: func() {},
+		PoolLinks: func() []handover.PoolLink { return []handover.PoolLink{{Addr: "pool", Serial: 7}} },
+		PoolLinksReported: func(links []handover.PoolLink) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.links = links
+		},
 		SuccessorChanged: func(on bool) { n.lines <- fmt.Sprint("succeeded ", on) },
 		AdoptConn: func(c net.Conn, info handover.Conn) bool {
 			n.lines <- fmt.Sprint("moved ", info.Served)
@@ -225,6 +232,9 @@
 	if len(successor.ids) == 0 {
 		t.Error("the successor received no IDs")
 	}
+	if diff := cmp.Diff([]handover.PoolLink{{Addr: "pool", Serial: 7}}, successor.links); diff != "" {
+		t.Errorf("the predecessor's links to worker pools: %s", diff)
+	}
 	successor.mu.Unlock()
 	// The socket stays open after the process that opened it has closed its listener.
 	go func() {
