--- a/internal/node/delivery.go
+++ b/internal/node/delivery.go
@@ -14,13 +14,13 @@
 // deliveryPollMs is the pause between two looks at the kernel's send queue.
 const deliveryPollMs = 1
 
-// awaitDelivery waits until the peer has received what was written, for as long as it may take to read an answer. A peer that
-// keeps up costs no wait.
+// awaitDelivery waits until the peer has received what was written, for as long as it may take to read an answer, or until the
+// connection is evicted. A peer that keeps up costs no wait.
 func (k *conn) awaitDelivery() {
 	if k.queuedBytes(unix.SIOCOUTQNSD) == 0 {
 		return
 	}
-	for by := clock.Now() + defaultWriteTimeoutMs; clock.Now() < by && !k.isDelivered(); {
+	for by := clock.Now() + defaultWriteTimeoutMs; clock.Now() < by && !k.isDelivered() && !k.node.conns.revoked(k); {
 		time.Sleep(deliveryPollMs * time.Millisecond)
 	}
 }
--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -240,7 +240,7 @@
 		t.Fatal(err)
 	}
 	defer l.Close()
-	n.link = &link{node: n, addr: l.Addr().String(), state: pool.New([]string{"status-lookup"}, nil)}
+	n.link = newLink(n, l.Addr().String(), pool.New([]string{"status-lookup"}, nil))
 	go n.link.run()
 	c, err := l.Accept()
 	if err != nil {
--- a/internal/node/link.go
+++ b/internal/node/link.go
@@ -31,7 +31,8 @@
 	queued bool       // commands were queued since the last flush
 	c      net.Conn   // nil while disconnected
 
-	lastDialError string // why the last connection attempt failed; used by the goroutine of run only
+	ended         chan struct{} // closed when run returns
+	lastDialError string        // why the last connection attempt failed; used by the goroutine of run only
 }
 
 // enqueue queues a command for the worker pool; flush sends it.
@@ -75,6 +76,19 @@
 	l.mu.Unlock()
 }
 
+// waitForEnd waits until run has returned, so that the last commands are written, for linkLastWriteMs at most.
+func (l *link) waitForEnd() {
+	select {
+	case <-l.ended:
+	case <-time.After(linkLastWriteMs * time.Millisecond):
+	}
+}
+
+// newLink returns a link to a worker pool.
+func newLink(n *Node, addr string, state *pool.Link) *link {
+	return &link{node: n, addr: addr, state: state, ended: make(chan struct{})}
+}
+
 // poolConn is a connection to the worker pool with the address that was dialed.
 type poolConn struct {
 	net.Conn
@@ -84,6 +98,7 @@
 // run keeps the link connected until the node ends. A broken link is dialed again at once, then every
 // linkRedialMs.
 func (l *link) run() {
+	defer close(l.ended)
 	var c, next *poolConn
 	for redialAt := clock.Now(); !l.node.hasEnded(); c, next = next, nil {
 		if c == nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -119,7 +119,7 @@
 	n.stopMs = cfg.StopMs
 	n.lateResults.node = n
 	n.reporter = reporter{addr: cfg.Announce, wake: make(chan struct{}, 1)}
-	n.link = &link{node: n, addr: cfg.Pool, state: pool.New(cfg.Settings.ClassNames, cfg.Settings.GaugeNames)}
+	n.link = newLink(n, cfg.Pool, pool.New(cfg.Settings.ClassNames, cfg.Settings.GaugeNames))
 	return n, nil
 }
 
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -43,6 +43,7 @@
 	n.conns.closeAll(n.shutdown.endBy)
 	close(n.connsClosed)
 	n.link.interrupt()
+	n.link.waitForEnd()
 }
 
 // refuseLateInputs answers what the connections pass on after the core's last step, until they are closed.
