Give requests time while the node reads their connection slowly

Cause: a stream whose request was incomplete was reset 2 s after its head, also if the node itself did not read the connection for as long because of a flood on it. Change: the delays of reads are added to the time for a request; conn.run is split by its steps.

--- a/internal/h2/budget_test.go
+++ b/internal/h2/budget_test.go
@@ -142,6 +142,37 @@
 	}
 }
 
+// Guards against a request that is reset as too slow because the node itself reads its connection slowly: only the time in which
+// the peer could be read counts. One that does not come is reset all the same.
+func TestSlowReadingLeavesTimeForRequests(t *testing.T) {
+	p := newPeerAtWork()
+	p.headers(3, false, longPost)
+	p.headers(5, false, longPost)
+	p.feed()
+	floods()[0].send(p) // PING
+	p.feed()
+	for range 10000 {
+		p.framer.WritePing(false, [8]byte{})
+	}
+	p.feed()
+	p.now = p.conn.ReadAfter()
+	if p.now < 4500+requestTimeoutMs {
+		t.Fatalf("reading goes on at %v", p.now)
+	}
+	p.conn.HandleDeadline(p.now, 30000)
+	p.events()
+	p.framer.WriteData(3, true, []byte("body"))
+	p.feed()
+	if got := p.events(); len(got) != 1 || got[0].Tag != 3 || got[0].Request == nil {
+		t.Errorf("got events %v, want the request of stream 3", got)
+	}
+	p.now += requestTimeoutMs + 10
+	p.conn.HandleDeadline(p.now, 30000)
+	if got := p.readFrames(); !slices.Contains(got, "rst 5 CANCEL") {
+		t.Errorf("got frames %v, want a reset of stream 5, whose body does not come", got)
+	}
+}
+
 // Guards against a gateway that is cut off although it keeps to RFC 9113 (review/7): 150 requests a second, half of the reads
 // given up after 40 ms, and answers in full numbers whose windows it gives back frame by frame, also on streams that
 // have ended.
--- a/internal/h2/conn.go
+++ b/internal/h2/conn.go
@@ -51,6 +51,7 @@
 	requestComplete bool    // the peer has ended its side of the stream
 	inProgress      bool    // the core has not answered yet
 	openedAt        float64 // when the HEADERS frame arrived
+	pausedBefore    float64 // Conn.pausedMs at that time
 	due             float64 // when the caller stops waiting; 0 for a health check or a fault
 	receiveWindow   int     // bytes that the peer may still send
 	sendWindow      int64   // bytes that may still be sent; negative after the peer lowered its initial window size
@@ -111,6 +112,7 @@
 	finalGoAway  bool    // the GOAWAY frame with the last accepted id was sent
 	endCode      string  // the close code once no stream is left, after finalGoAway; empty: a drain
 	readAfter    float64 // see front.Protocol.ReadAfter
+	pausedMs     float64 // sum of the delays of reads
 	closeCode    string  // see front.Protocol.CloseReason
 	linger       bool
 }
@@ -212,13 +214,24 @@
 		c.fail(e, code)
 		return
 	}
-	c.readAfter = max(c.readAfter, c.now) + excessPauseMs
+	c.pauseReading()
 	if c.endCode == "" {
 		c.endCode, c.finalGoAway = code, true
 		c.control = appendGoAway(c.control, c.acceptedID, e, code)
 	}
 }
 
+// pauseReading delays the next read for a frame beyond a budget.
+func (c *Conn) pauseReading() {
+	c.readAfter = max(c.readAfter, c.now) + excessPauseMs
+	c.pausedMs += excessPauseMs
+}
+
+// requestDeadline returns when the request of a stream must be complete. Pauses of this side do not count.
+func (c *Conn) requestDeadline(s *stream) float64 {
+	return s.openedAt + requestTimeoutMs + c.pausedMs - s.pausedBefore
+}
+
 // ReadAfter implements front.Protocol.
 func (c *Conn) ReadAfter() float64 { return c.readAfter }
 
--- a/internal/h2/stream.go
+++ b/internal/h2/stream.go
@@ -101,7 +101,7 @@
 	if !c.undecoded && (len(b.buf)+len(p) > maxBlockBytes || b.continuations > maxContinuations) {
 		c.dropBlock(EnhanceYourCalm, "flood-continuation")
 	} else if c.undecoded {
-		c.readAfter = max(c.readAfter, c.now) + excessPauseMs
+		c.pauseReading()
 	}
 	if c.closeCode != "" {
 		return
@@ -197,7 +197,7 @@
 		return
 	}
 	r.checkPseudoFields()
-	s = &stream{id: b.stream, req: r, openedAt: c.now, receiveWindow: streamWindowBytes, sendWindow: c.peerInitialWindow}
+	s = &stream{id: b.stream, req: r, openedAt: c.now, pausedBefore: c.pausedMs, receiveWindow: streamWindowBytes, sendWindow: c.peerInitialWindow}
 	if !c.reserve(s, b.endStream) {
 		// It does not count against the budget of refusals: other connections may hold the memory.
 		c.resetStream(b.stream, RefusedStream)
--- a/internal/h2/write.go
+++ b/internal/h2/write.go
@@ -259,7 +259,7 @@
 	}
 	for _, s := range c.streams {
 		if !s.requestComplete {
-			sooner(s.openedAt + requestTimeoutMs)
+			sooner(c.requestDeadline(s))
 		} else if s.blocked && s.due > 0 {
 			sooner(s.due + answerGraceMs + 1)
 		} else if s.blocked {
@@ -301,7 +301,7 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(c.streams)) {
 		s := c.streams[id]
-		expired := !s.requestComplete && c.now >= s.openedAt+requestTimeoutMs ||
+		expired := !s.requestComplete && c.now >= c.requestDeadline(s) ||
 			s.blocked && (s.due > 0 && c.now > s.due+answerGraceMs || s.due == 0 && c.now >= s.openedAt+handshakeTimeoutMs)
 		if expired {
 			c.resetStream(id, Cancel)
--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -244,95 +244,129 @@
 	k.node.conns.remove(k) // after the log line, because shutdown waits for the removal
 }
 
+// readBufferBytes is the size of one read.
+const readBufferBytes = 4096
+
 // run reads and writes until the connection has to end, and returns the code of the reason.
 func (k *conn) run() string {
-	buf := make([]byte, 4096)
+	buf := make([]byte, readBufferBytes)
 	for {
 		t := clock.Now()
 		k.processMailbox(t)
-		for {
-			e, ok := k.proto.Next(t)
-			if !ok {
-				break
-			}
-			if e.Request != nil && k.hasPeerLeft() {
-				return k.proto.PeerCloseReason(true)
-			}
-			k.handleEvent(e)
+		if !k.passEvents(t) {
+			return k.proto.PeerCloseReason(true)
 		}
-		if k.output = k.proto.AppendOutput(t, k.output[:0]); len(k.output) > 0 {
-			code, linger := k.proto.CloseReason()
-			if code != "" && linger {
-				k.node.conns.markIdle(k, connState{}) // a protocol error was answered: the connection may be evicted
-			}
-			if err := k.write(); err != nil && !linger {
-				return "write"
-			} else if err == nil && linger {
-				k.linger()
-			}
-			if code == "" {
-				continue // the write may have made room for more output
-			}
-		}
-		if code, _ := k.proto.CloseReason(); code != "" {
-			k.awaitDelivery()
+		written, code := k.writeOutput(t)
+		if code != "" {
 			return code
 		}
+		if written {
+			continue // the write may have made room for more output
+		}
 		k.noteIdle()
 		idle := float64(k.node.idleTimeoutMs.Load())
-		if wake := k.proto.NextDeadline(idle); k.takeDeadlineChanged() || wake != k.readDeadline {
-			k.readDeadline = wake
-			k.c.SetReadDeadline(clock.Time(wake))
-		}
-		if k.node.conns.revoked(k) {
-			if !k.lookedLast && k.hasUnreadBytes() && k.look(buf) {
-				continue // a request in them is refused
+		k.setReadDeadline(idle)
+		switch {
+		case k.node.conns.revoked(k):
+			if code := k.makeRoom(buf); code != "" {
+				return code
 			}
-			k.announceEnd()
-			return "room"
-		}
-		if k.hasWork() {
-			continue // it arrived before SetReadDeadline, which may have overwritten the wake-up
-		}
-		if k.node.successorActive.Load() && k.handOff() {
+		case k.hasWork(): // it arrived before SetReadDeadline, which may have overwritten the wake-up
+		case k.node.successorActive.Load() && k.handOff():
 			return "moved"
-		}
-		if k.canEnd() {
+		case k.canEnd():
 			if k.finish(buf) {
 				return "drain"
 			}
-			continue
-		}
-		if until := k.proto.ReadAfter(); until > clock.Now() {
-			if k.pauseReading(until) {
-				return k.proto.PeerCloseReason(true)
+		default:
+			if code := k.awaitInput(buf, idle); code != "" {
+				return code
 			}
-			k.proto.HandleDeadline(clock.Now(), idle)
-			continue
 		}
-		n, err := k.c.Read(buf)
-		if err == nil {
-			k.lateReads = 0
-		} else if errors.Is(err, os.ErrDeadlineExceeded) && k.deadlinePassed(idle) {
-			n, err = k.readLate(buf)
+	}
+}
+
+// passEvents passes the protocol's events to the core. It returns false if a request is left whose peer has closed the connection.
+func (k *conn) passEvents(t float64) bool {
+	for e, ok := k.proto.Next(t); ok; e, ok = k.proto.Next(t) {
+		if e.Request != nil && k.hasPeerLeft() {
+			return false
+		}
+		k.handleEvent(e)
+	}
+	return true
+}
+
+// writeOutput writes what the protocol has to send, and reports whether that was anything. If the connection has to end, it
+// returns the code of the reason.
+func (k *conn) writeOutput(t float64) (written bool, code string) {
+	k.output = k.proto.AppendOutput(t, k.output[:0])
+	code, linger := k.proto.CloseReason()
+	if written = len(k.output) > 0; written {
+		if linger {
+			k.node.conns.markIdle(k, connState{}) // a protocol error was answered: the connection may be evicted
 		}
-		if n > 0 {
-			k.proto.Feed(clock.Now(), buf[:n])
-			continue
+		if err := k.write(); err != nil && !linger {
+			return true, "write"
+		} else if err == nil && linger {
+			k.linger()
 		}
-		switch {
-		case err == nil:
-		case errors.Is(err, os.ErrDeadlineExceeded):
-			k.readDeadline = -1                       // expired: it has to be set again, whoever set it
-			k.proto.HandleDeadline(clock.Now(), idle) // not by a shorter one, before which nothing was read
-		case errors.Is(err, net.ErrClosed) && k.owesAnswer():
-			return "cut"
-		case errors.Is(err, net.ErrClosed):
-			return "drain"
-		default:
-			return k.proto.PeerCloseReason(errors.Is(err, io.EOF))
+	}
+	if code != "" {
+		k.awaitDelivery()
+	}
+	return written, code
+}
+
+// setReadDeadline sets the deadline of the next read to that of the protocol, unless it is set.
+func (k *conn) setReadDeadline(idle float64) {
+	if wake := k.proto.NextDeadline(idle); k.takeDeadlineChanged() || wake != k.readDeadline {
+		k.readDeadline = wake
+		k.c.SetReadDeadline(clock.Time(wake))
+	}
+}
+
+// makeRoom ends a connection whose place was given to another one, and returns the code of the reason. It returns "" if
+// something had arrived before: a request in it is refused first.
+func (k *conn) makeRoom(buf []byte) string {
+	if !k.lookedLast && k.hasUnreadBytes() && k.look(buf) {
+		return ""
+	}
+	k.announceEnd()
+	return "room"
+}
+
+// awaitInput waits for input, or for a deadline of the protocol, and passes it on. It returns a code if the connection has to
+// end.
+func (k *conn) awaitInput(buf []byte, idle float64) (code string) {
+	if until := k.proto.ReadAfter(); until > clock.Now() {
+		if k.pauseReading(until) {
+			return k.proto.PeerCloseReason(true)
 		}
+		k.proto.HandleDeadline(clock.Now(), idle)
+		return ""
+	}
+	n, err := k.c.Read(buf)
+	if err == nil {
+		k.lateReads = 0
+	} else if errors.Is(err, os.ErrDeadlineExceeded) && k.deadlinePassed(idle) {
+		n, err = k.readLate(buf)
+	}
+	switch {
+	case n > 0:
+		k.proto.Feed(clock.Now(), buf[:n])
+	case err == nil:
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		k.readDeadline = -1                       // expired: it has to be set again, whoever set it
+		k.proto.HandleDeadline(clock.Now(), idle) // not by a shorter one, before which nothing was read
+	case errors.Is(err, net.ErrClosed) && k.owesAnswer():
+		return "cut"
+	case errors.Is(err, net.ErrClosed):
+		return "drain"
+	default:
+		return k.proto.PeerCloseReason(errors.Is(err, io.EOF))
 	}
+	return ""
 }
 
 // announceEnd tells the peer of a connection that is closed for another one which of its messages were not read.
