Take the channels of a started process before another one becomes current

Cause: the goroutine of a process in the exchange player read the signal channels of the current process, which the steps of a former process swap for a moment: a data race, and possibly the channels of the other process. Change: it uses those of the process that it started.

--- a/internal/rehearse/process.go
+++ b/internal/rehearse/process.go
@@ -193,15 +193,15 @@
 		return err
 	}
 	p.node, p.stop, p.hangup, p.ended = next, make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan struct{})
-	ended := p.ended
+	started := p.process // another process may become the current one
 	go func() {
-		next.Run(context.Background(), p.stop, p.hangup, func() (settings.Config, settings.Operator, error) {
+		next.Run(context.Background(), started.stop, started.hangup, func() (settings.Config, settings.Operator, error) {
 			p.mu.Lock()
 			defer p.mu.Unlock()
 			cfg, err := settings.ParseConfig([]byte(p.config))
 			return cfg, operator, err
 		})
-		close(ended)
+		close(started.ended)
 	}()
 	return nil
 }
