Leave the processor to others while a peer sends without a pause

Cause: on one processor such a connection reads on until it is preempted after 10 ms, and each step of an answer waited behind hundreds of these. Change: the goroutine yields after each read that fills its buffer.

--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"os"
+	"runtime"
 	"sync"
 	"syscall"
 	"time"
@@ -355,6 +356,9 @@
 	switch {
 	case n > 0:
 		k.proto.Feed(clock.Now(), buf[:n])
+		if n == len(buf) {
+			runtime.Gosched() // more is waiting: a peer that sends without a pause must not keep the others waiting
+		}
 	case err == nil:
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		k.readDeadline = -1                       // expired: it has to be set again, whoever set it
