--- a/internal/node/pause.go
+++ b/internal/node/pause.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"net"
 	"os"
 	"syscall"
 	"time"
@@ -12,7 +11,7 @@
 	"whinrudder/internal/clock"
 )
 
-// pausePollMs is the pause between two looks at a connection that is not a TCP one.
+// pausePollMs is the pause between two looks at a connection that has no descriptor.
 const pausePollMs = 1
 
 // pauseReading waits without reading, so that a peer that sends too much waits as well: until a time, until another goroutine
@@ -74,10 +73,10 @@
 	}
 }
 
-// rawConn gives access to the descriptor of a TCP connection; it returns nil for another one.
+// rawConn gives access to the descriptor of a connection; it returns nil for one that has none, such as a pipe.
 func (k *conn) rawConn() syscall.RawConn {
-	if t, ok := k.c.(*net.TCPConn); ok && k.raw == nil {
-		k.raw, _ = t.SyscallConn()
+	if c, ok := k.c.(syscall.Conn); ok && k.raw == nil {
+		k.raw, _ = c.SyscallConn()
 	}
 	return k.raw
 }
--- a/internal/node/shutdown_test.go
+++ b/internal/node/shutdown_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -137,6 +138,11 @@
 	wake func() // called before the end of the first read; nil afterwards
 }
 
+// SyscallConn implements syscall.Conn.
+func (c *wokenConn) SyscallConn() (syscall.RawConn, error) {
+	return c.Conn.(syscall.Conn).SyscallConn()
+}
+
 func (c *wokenConn) Read(b []byte) (int, error) {
 	if c.wake == nil {
 		return c.Conn.Read(b)
