Let a connection that is handed over wait for room by itself

Cause: since new connections wait for room, one that the old process of an upgrade handed over did so in the exchange of the two processes, and the answers to claims waited for up to 0.5 s behind each of them. Change: it waits in a goroutine of its own. Evidence: TestConnectionThatWaitsForRoomDoesNotHoldUpTheExchange failed before; the package passed in 5 runs after, two of them with the race detector.

--- a/internal/upgrade/successor.go
+++ b/internal/upgrade/successor.go
@@ -210,13 +210,18 @@
 		if err != nil {
 			return nil // the connection was closed while it was passed
 		}
-		if !s.u.host.AdoptConn(c, e.Conn) {
-			c.Close()
-		}
+		go s.adopt(c, e.Conn)
 	}
 	return nil
 }
 
+// adopt has the node take over a connection. That may have to wait for room, which must not hold up the exchange.
+func (s *successorSide) adopt(c net.Conn, info handover.Conn) {
+	if !s.u.host.AdoptConn(c, info) {
+		c.Close()
+	}
+}
+
 // announceServing informs the predecessor that this process accepts new connections.
 func (s *successorSide) announceServing() {
 	s.conn.mu.Lock()
--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -261,6 +261,52 @@
 	successor.u.EndShutdown(clock.Now() + 5000)
 }
 
+// Guards against requests of the old process that wait for an answer to their claims, because the new one waits for room for a
+// connection that was handed over: what the processes tell each other goes on meanwhile.
+func TestConnectionThatWaitsForRoomDoesNotHoldUpTheExchange(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	l := listen(t)
+	addr, dir := l.Addr().String(), t.TempDir()
+	predecessor, successor := newFakeNode(t, dir, l, addr), newFakeNode(t, dir, nil, addr)
+	predecessor.u.ListenForSuccessor()
+	waiting, room := make(chan struct{}), make(chan struct{})
+	successor.u.host.AdoptConn = func(net.Conn, handover.Conn) bool {
+		close(waiting)
+		<-room
+		return false
+	}
+	got, err := successor.u.TakeOver()
+	if err != nil || got == nil {
+		t.Fatal(got, err)
+	}
+	successor.u.Ready(true)
+	client, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	c, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for by := time.Now().Add(10 * time.Second); !predecessor.u.HandOffConn(c, handover.Conn{Front: "http"}); time.Sleep(time.Millisecond) {
+		if time.Now().After(by) {
+			t.Fatal("the connection was not handed off")
+		}
+	}
+	c.Close()
+	<-waiting
+	successor.waitForDrain(t, predecessor.order(false))
+	close(room)
+	if n, err := client.Read(make([]byte, 1)); n > 0 || err == nil {
+		t.Error("a connection without room stays open")
+	}
+	predecessor.u.EndShutdown(clock.Now() + 1000)
+	successor.u.EndShutdown(clock.Now() + 1000)
+	got.Listeners["http"].Close()
+	l.Close()
+}
+
 // Once the loss of a successor is logged, the predecessor must serve again and be able to hand over to another one.
 func TestLostSuccessor(t *testing.T) {
 	defer goleak.VerifyNone(t)
